Serve a request from end to end through separate processes

Cause: the system had no code. The main job runs first, so that every later subsystem replaces a part of a path that already works.

The path: a caller asks any of six vms for an entry address, sends a keyed chat request or a checkout, and the vm checks the key, picks the target with the least reported load, strips the key and relays the answer. Settings come from the store; stand-ins play the platform and the targets.

Ruled out: linking the daemon's code into one process with the stand-ins; `up` starts one process for each role, as the fleet does.

Conclusion: the interfaces for dispatch, usage recording, peer messages and control machines are in place as thin versions and are filled next.

--- /dev/null
+++ b/crates/caller/src/headers.rs
@@ -0,0 +1,14 @@
+//! Header names that are not part of HTTP itself.
+
+/// Key of the caller, as an alternative to `Authorization: Bearer`.
+pub const API_KEY: &str = "x-api-key";
+/// Marks a request that may run at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Identifies the request in answers and logs.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Identifies one attempt at a target. The target echoes it.
+pub const ATTEMPT: &str = "x-jujubebeam-attempt";
+/// Time in which the caller wants the first token, in milliseconds.
+pub const DEADLINE_MS: &str = "x-jujubebeam-deadline-ms";
+/// W3C trace context.
+pub const TRACEPARENT: &str = "traceparent";
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,69 @@
+//! Small `Copy` keys. Names stay at the edges; machines hold keys only.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! id {
+    ($(#[$doc:meta])* $name:ident, $inner:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+    };
+}
+
+id!(
+    /// A vm of the system, numbered by its settings file.
+    VmId,
+    u32
+);
+id!(
+    /// An availability zone, numbered in the order of the `fleet` settings.
+    ZoneId,
+    u16
+);
+id!(
+    /// A workspace: 64 bits of the SHA-256 of `team/workspace`, so that all vms agree without
+    /// coordination. The settings check refuses two workspaces with one id.
+    WorkspaceId,
+    u64
+);
+id!(
+    /// A target (engine or plain service): 64 bits of the SHA-256 of its name.
+    TargetId,
+    u64
+);
+id!(
+    /// A route, numbered in the order of the `fleet` settings.
+    RouteId,
+    u16
+);
+id!(
+    /// One run of a process. A restart takes a higher number.
+    Incarnation,
+    u64
+);
+id!(
+    /// One request of a caller.
+    RequestId,
+    u128
+);
+id!(
+    /// Revision of the platform's store. It only grows.
+    Revision,
+    u64
+);
+id!(
+    /// Fencing token: the store revision at which the lease key was created.
+    Fence,
+    u64
+);
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions of jujubebeam, free of I/O, threads and clock reads.
+//!
+//! Every subsystem is a [`Machine`]: it takes typed events and the present time and emits typed
+//! commands. The daemon is a thin shell around these machines, and a test can drive many vms in
+//! one process. See `docs/design.md`, section 4.1.
+
+mod clock;
+mod ids;
+pub mod invariant;
+mod machine;
+pub mod peer;
+pub mod settings;
+pub mod store;
+pub mod targets;
+
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use ids::{
+    Fence, Incarnation, RequestId, Revision, RouteId, TargetId, VmId, WorkspaceId, ZoneId,
+};
+pub use machine::Machine;
--- /dev/null
+++ b/crates/core/src/store.rs
@@ -0,0 +1,166 @@
+//! Operations on the platform's store, as machines request them and see their results.
+//!
+//! See `docs/design.md`, section 4.1. A missing answer is [`StoreReply::Unknown`]: the write may
+//! or may not have taken effect, so a machine reads back before it acts.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Revision;
+
+/// Identifies a call so that its reply reaches the right waiter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CallToken(pub u64);
+
+/// Lease of the store, as the store numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LeaseId(pub i64);
+
+/// Condition on the present value of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Expected {
+    /// The key does not exist.
+    Absent,
+    /// The key was last written at this revision.
+    At(Revision),
+}
+
+/// Additional key that must be at a given creation revision for a write to succeed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Guard {
+    /// Key that is compared, usually the key of a lease.
+    pub key: String,
+    /// Creation revision that the key must have.
+    pub created: Revision,
+}
+
+/// One key with its value and revisions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Key of the entry.
+    pub key: String,
+    /// Stored bytes.
+    pub value: Vec<u8>,
+    /// Revision at which the key was created.
+    pub created: Revision,
+    /// Revision of the last write.
+    pub modified: Revision,
+}
+
+/// An operation on the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreOp {
+    /// Reads one key.
+    Get {
+        /// Key to read.
+        key: String,
+    },
+    /// Reads all keys with a prefix.
+    List {
+        /// Common prefix of the keys.
+        prefix: String,
+    },
+    /// Writes a key if its present state matches.
+    Cas {
+        /// Key to write.
+        key: String,
+        /// Present state that is required.
+        expected: Expected,
+        /// New value.
+        value: Vec<u8>,
+        /// Lease that the key is bound to.
+        lease: Option<LeaseId>,
+        /// Second condition, checked in the same transaction.
+        guard: Option<Guard>,
+    },
+    /// Creates all keys or, if one of them exists, none.
+    CreateAll {
+        /// Keys with their values, at most 128.
+        entries: Vec<(String, Vec<u8>)>,
+        /// Lease that the keys are bound to.
+        lease: Option<LeaseId>,
+    },
+    /// Deletes a key if it was last written at the given revision.
+    Delete {
+        /// Key to delete.
+        key: String,
+        /// Required revision of the present value.
+        expected: Revision,
+    },
+    /// Grants a lease.
+    GrantLease {
+        /// Time to live.
+        ttl: Duration,
+    },
+    /// Renews a lease.
+    KeepAlive {
+        /// Lease to renew.
+        lease: LeaseId,
+    },
+    /// Revokes a lease and deletes the keys that are bound to it.
+    Revoke {
+        /// Lease to revoke.
+        lease: LeaseId,
+    },
+}
+
+/// An operation with the token that its reply will carry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreCall {
+    /// Echoed in the reply.
+    pub token: CallToken,
+    /// Operation to perform.
+    pub op: StoreOp,
+}
+
+/// Result of an operation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreReply {
+    /// Answer to `Get`.
+    Value {
+        /// The entry, if the key exists.
+        entry: Option<Entry>,
+        /// Revision of the store when it answered.
+        store: Revision,
+    },
+    /// Answer to `List`.
+    Values {
+        /// All entries with the prefix.
+        entries: Vec<Entry>,
+        /// Revision of the store when it answered.
+        store: Revision,
+    },
+    /// A `Cas` or `Delete` took effect at this revision.
+    Written {
+        /// Revision of the write.
+        revision: Revision,
+    },
+    /// A condition did not hold and nothing was written.
+    Conflict {
+        /// Present entry of the key, if it exists.
+        current: Option<Entry>,
+        /// Revision of the store when it answered.
+        store: Revision,
+    },
+    /// A lease was granted.
+    Granted {
+        /// The new lease.
+        lease: LeaseId,
+        /// Time to live that the store granted.
+        ttl: Duration,
+    },
+    /// A lease was renewed.
+    Alive {
+        /// Remaining time to live.
+        ttl: Duration,
+    },
+    /// The lease no longer exists.
+    Expired,
+    /// The lease was revoked.
+    Revoked,
+    /// The store refused the call before it had any effect, for example by its rate limit.
+    Refused,
+    /// No answer arrived. The call may or may not have taken effect.
+    Unknown,
+}
--- /dev/null
+++ b/crates/core/src/targets.rs
@@ -0,0 +1,183 @@
+//! What the system knows about a target, and the orders it can give to one.
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+use crate::{Fence, Incarnation};
+
+/// What kind of work an engine takes.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Takes prompts and exports their KV cache.
+    Prefill,
+    /// Imports KV cache and generates tokens.
+    Decode,
+    /// Does both.
+    #[default]
+    Mixed,
+}
+
+/// Whether a target takes work.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum TargetState {
+    /// Takes new work.
+    #[default]
+    Serving,
+    /// Finishes its work and takes no new work.
+    Draining,
+    /// Executes an order and takes no work.
+    Changing,
+    /// Will be withdrawn by the platform.
+    Leaving,
+}
+
+/// A model with its version, as an engine has it loaded.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LoadedModel {
+    /// Name that callers use.
+    pub model: String,
+    /// Version of the weights.
+    pub version: String,
+    /// Names of the loaded adapters.
+    #[serde(default)]
+    pub adapters: SmallVec<[String; 4]>,
+}
+
+/// Load that a target reports. It is older than it looks by the target's reporting lag.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Run of the target's process. It changes when the target restarts.
+    pub incarnation: Incarnation,
+    /// Role in force.
+    #[serde(default)]
+    pub role: Role,
+    /// Whether the target takes work.
+    #[serde(default)]
+    pub state: TargetState,
+    /// Models that can be served.
+    #[serde(default)]
+    pub models: SmallVec<[LoadedModel; 2]>,
+    /// Requests in execution.
+    pub running_requests: u32,
+    /// Requests that wait in the target's own queue.
+    pub waiting_requests: u32,
+    /// Prompt tokens that wait for prefill.
+    #[serde(default)]
+    pub queued_prompt_tokens: u64,
+    /// Tokens of context held by running requests.
+    #[serde(default)]
+    pub running_context_tokens: u64,
+    /// Cache pieces in use.
+    #[serde(default)]
+    pub cache_used_pieces: u32,
+    /// Cache pieces in all.
+    #[serde(default)]
+    pub cache_total_pieces: u32,
+}
+
+/// Change of an engine's prefix cache. Events arrive late and with gaps in `seq`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Position in the engine's event sequence.
+    pub seq: u64,
+    /// Chained hash of the prompt prefix up to and including this piece.
+    pub prefix_hash: u64,
+    /// True if the piece was stored, false if it was evicted.
+    pub stored: bool,
+}
+
+/// What an engine can be told to do.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Order {
+    /// Changes the role. The engine is away for seconds.
+    SetRole {
+        /// Role to take.
+        role: Role,
+    },
+    /// Loads a model version from the weight store.
+    LoadModel {
+        /// Name that callers use.
+        model: String,
+        /// Version of the weights.
+        version: String,
+        /// Grant of the weight store.
+        grant: String,
+    },
+    /// Loads an adapter from the weight store.
+    LoadAdapter {
+        /// Model that the adapter belongs to.
+        model: String,
+        /// Name of the adapter.
+        adapter: String,
+        /// Grant of the weight store.
+        grant: String,
+    },
+    /// Unloads a model version.
+    UnloadModel {
+        /// Name that callers use.
+        model: String,
+        /// Version of the weights.
+        version: String,
+    },
+}
+
+/// An order with its identity and the fencing token of its sender.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FencedOrder {
+    /// Unique id. The same id always carries the same order.
+    pub order_id: u64,
+    /// Fencing token of the lease under which the order was decided.
+    pub fence: Fence,
+    /// What to do.
+    pub order: Order,
+}
+
+/// Answer of an engine to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "result")]
+pub enum OrderAnswer {
+    /// The order is in execution or was executed before.
+    Accepted,
+    /// The engine has seen a higher fence.
+    StaleFence {
+        /// Highest fence that the engine has seen.
+        highest: Fence,
+    },
+    /// Another order is in execution.
+    Busy,
+}
--- /dev/null
+++ b/crates/jujubebeam/src/lib.rs
@@ -0,0 +1,17 @@
+//! The jujubebeam daemon and the operators' client.
+
+#![allow(dead_code, reason = "interfaces of subsystems that are being added")]
+
+mod caller;
+mod cli;
+mod context;
+mod control;
+mod dispatch;
+mod part;
+mod peers;
+mod process_config;
+mod recorder;
+mod server;
+mod shared;
+
+pub use cli::run;
--- /dev/null
+++ b/crates/jujubebeam/src/peers.rs
@@ -0,0 +1,83 @@
+//! Messages to and from other vms.
+
+use jujubebeam_core::VmId;
+use jujubebeam_core::peer::PeerMessage;
+use jujubebeam_peer::{Envelope, MESSAGES_PATH, decode, encode};
+use ntex::util::Bytes;
+use ntex::web::{self, HttpResponse, ServiceConfig};
+
+use crate::context::Context;
+
+/// Largest body of an envelope.
+const ENVELOPE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Adds the routes of the peer listener.
+pub(crate) fn configure(config: &mut ServiceConfig) {
+    config
+        .state(web::types::PayloadConfig::new(ENVELOPE_LIMIT_BYTES))
+        .route(MESSAGES_PATH, web::post().to(receive));
+}
+
+/// Sends messages to a vm and hands the messages of its answer to the machines.
+pub(crate) fn send(context: &Context, to: VmId, messages: Vec<PeerMessage>) {
+    let Some(address) = context.shared.peer_address(to) else {
+        return;
+    };
+    let envelope = Envelope {
+        from: context.shared.config.vm,
+        incarnation: context.shared.incarnation,
+        messages,
+    };
+    let context = context.clone();
+    ntex::rt::spawn(async move {
+        match context.peers.exchange(&address, &envelope).await {
+            Ok(answer) => {
+                deliver_all(&context, answer);
+            }
+            Err(e) => log::debug!("vm: {to} did not answer: {e}"),
+        }
+    });
+}
+
+async fn receive(context: web::types::State<Context>, body: Bytes) -> HttpResponse {
+    let envelope: Envelope<PeerMessage> = match decode(&body) {
+        Ok(envelope) => envelope,
+        Err(e) => {
+            log::warn!("vm: message not understood: {e}");
+            return HttpResponse::BadRequest().finish();
+        }
+    };
+    let answer = Envelope {
+        from: context.shared.config.vm,
+        incarnation: context.shared.incarnation,
+        messages: deliver_all(&context, envelope),
+    };
+    match encode(&answer) {
+        Ok(bytes) => HttpResponse::Ok()
+            .content_type("application/msgpack")
+            .body(bytes),
+        Err(e) => {
+            log::error!("vm: answer not encoded: {e}");
+            HttpResponse::InternalServerError().finish()
+        }
+    }
+}
+
+fn deliver_all(context: &Context, envelope: Envelope<PeerMessage>) -> Vec<PeerMessage> {
+    let from = envelope.from;
+    envelope
+        .messages
+        .into_iter()
+        .filter_map(|message| deliver(context, from, message))
+        .collect()
+}
+
+/// Hands a message to its machine. The returned message is sent back in the same exchange.
+fn deliver(_context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
+    match message {
+        PeerMessage::Ping => {
+            log::trace!("vm: ping from {from}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/jujubebeam/src/shared.rs
@@ -0,0 +1,112 @@
+//! State that the listeners and the control thread share.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, RwLock};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use jujubebeam_core::settings::Snapshot;
+use jujubebeam_core::targets::LoadReport;
+use jujubebeam_core::{Incarnation, RequestId, SystemClock, TargetId, VmId};
+use jujubebeam_vmlist::VmList;
+
+use crate::process_config::ProcessConfig;
+
+/// State of the process. Every part has its own lock, and no lock is held across an await.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    /// Settings of the process.
+    pub(crate) config: ProcessConfig,
+    /// Run of the process.
+    pub(crate) incarnation: Incarnation,
+    /// Monotonic clock.
+    pub(crate) clock: SystemClock,
+    snapshot: RwLock<Option<Arc<Snapshot>>>,
+    vms: RwLock<Arc<VmList>>,
+    loads: RwLock<HashMap<TargetId, LoadReport>>,
+    next_serial: AtomicU64,
+}
+
+impl Shared {
+    /// Creates the state of a fresh process.
+    pub(crate) fn new(config: ProcessConfig) -> Self {
+        Self {
+            config,
+            incarnation: new_incarnation(),
+            clock: SystemClock::new(),
+            snapshot: RwLock::new(None),
+            vms: RwLock::new(Arc::new(VmList::default())),
+            loads: RwLock::new(HashMap::new()),
+            next_serial: AtomicU64::new(1),
+        }
+    }
+
+    /// Settings in force, or `None` before the first full set has arrived.
+    pub(crate) fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        read(&self.snapshot).clone()
+    }
+
+    /// Puts settings in force.
+    pub(crate) fn set_snapshot(&self, snapshot: Snapshot) {
+        *write(&self.snapshot) = Some(Arc::new(snapshot));
+    }
+
+    /// Last vm list that was read.
+    pub(crate) fn vms(&self) -> Arc<VmList> {
+        read(&self.vms).clone()
+    }
+
+    /// Replaces the vm list.
+    pub(crate) fn set_vms(&self, vms: VmList) {
+        *write(&self.vms) = Arc::new(vms);
+    }
+
+    /// Last load report of a target.
+    pub(crate) fn load(&self, target: TargetId) -> Option<LoadReport> {
+        read(&self.loads).get(&target).cloned()
+    }
+
+    /// Stores or removes the load report of a target.
+    pub(crate) fn set_load(&self, target: TargetId, report: Option<LoadReport>) {
+        let mut loads = write(&self.loads);
+        match report {
+            Some(report) => loads.insert(target, report),
+            None => loads.remove(&target),
+        };
+    }
+
+    /// Next number for ids that are unique within this run.
+    pub(crate) fn next_serial(&self) -> u64 {
+        self.next_serial.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Id of a new request, unique across vms and restarts.
+    pub(crate) fn new_request_id(&self) -> RequestId {
+        let vm = u128::from(self.config.vm.0) << 96;
+        let incarnation = u128::from(self.incarnation.0) << 32;
+        RequestId(vm | incarnation | u128::from(self.next_serial() as u32))
+    }
+
+    /// Address of another vm for messages.
+    pub(crate) fn peer_address(&self, vm: VmId) -> Option<String> {
+        let vms = self.vms();
+        let listed = vms.vms.iter().find(|v| v.vm == vm)?;
+        Some(listed.peer_address.clone())
+    }
+}
+
+/// The wall clock orders the runs of one vm; nothing else depends on it.
+fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation(since_epoch.as_micros() as u64)
+}
+
+fn read<T>(lock: &RwLock<T>) -> std::sync::RwLockReadGuard<'_, T> {
+    lock.read().unwrap_or_else(|e| e.into_inner())
+}
+
+fn write<T>(lock: &RwLock<T>) -> std::sync::RwLockWriteGuard<'_, T> {
+    lock.write().unwrap_or_else(|e| e.into_inner())
+}
--- /dev/null
+++ b/crates/standin/src/cli.rs
@@ -0,0 +1,96 @@
+//! Command line of the stand-ins.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+
+use crate::{engine, platform, service, up};
+
+const HELP: &str = "\
+jujubebeam-standin: stand-ins for the systems around jujubebeam
+
+USAGE:
+    jujubebeam-standin up [--once] [--base-port PORT]
+    jujubebeam-standin platform --address IP:PORT --vms FILE
+    jujubebeam-standin engine --address IP:PORT --model MODEL
+    jujubebeam-standin service --address IP:PORT --name NAME
+    jujubebeam-standin vm ARGUMENTS OF jujubebeam
+
+COMMANDS:
+    up          Starts the stand-ins and six vms on loopback until Ctrl-C.
+    platform    Runs the store, vm list, ordering, usage and weight store.
+    engine      Runs one inference engine.
+    service     Runs one plain service.
+    vm          Runs the jujubebeam daemon or client.
+
+OPTIONS:
+    --once        Serves one streamed request and one checkout, prints both and exits.
+    --base-port   First port to use; default 17000.
+    -h, --help    Prints this text.
+";
+
+/// Parses the command line and runs the chosen command.
+pub(crate) fn run() -> ExitCode {
+    let mut raw: Vec<_> = std::env::args_os().skip(1).collect();
+    if raw.first().is_some_and(|first| first == "vm") {
+        raw.remove(0);
+        return jujubebeam::run(raw);
+    }
+    let mut args = Arguments::from_vec(raw);
+    let command = args.subcommand().ok().flatten();
+    if command.is_none() || args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    match dispatch(command.as_deref().unwrap_or_default(), args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("jujubebeam-standin: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn dispatch(command: &str, mut args: Arguments) -> Result<(), String> {
+    match command {
+        "up" => {
+            let once = args.contains("--once");
+            let base_port = optional(&mut args, "--base-port")?.unwrap_or(17_000);
+            up::run(base_port, once)
+        }
+        "platform" => {
+            let address: SocketAddr = required(&mut args, "--address")?;
+            let vms: String = required(&mut args, "--vms")?;
+            platform::run(address, &vms)
+        }
+        "engine" => {
+            let address: SocketAddr = required(&mut args, "--address")?;
+            let model: String = required(&mut args, "--model")?;
+            engine::run(address, model)
+        }
+        "service" => {
+            let address: SocketAddr = required(&mut args, "--address")?;
+            let name: String = required(&mut args, "--name")?;
+            service::run(address, name)
+        }
+        other => Err(format!("unknown command {other:?}; see `--help`")),
+    }
+}
+
+fn required<T: std::str::FromStr>(args: &mut Arguments, name: &'static str) -> Result<T, String>
+where
+    T::Err: std::fmt::Display,
+{
+    args.value_from_str(name).map_err(|e| e.to_string())
+}
+
+fn optional<T: std::str::FromStr>(
+    args: &mut Arguments,
+    name: &'static str,
+) -> Result<Option<T>, String>
+where
+    T::Err: std::fmt::Display,
+{
+    args.opt_value_from_str(name).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/crates/standin/src/up/processes.rs
@@ -0,0 +1,76 @@
+//! Child processes of `up`.
+
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::{env, fs, process};
+
+use super::example::{Layout, MODEL};
+
+/// The started processes, stopped in reverse order.
+#[derive(Default)]
+pub(crate) struct Processes {
+    children: Vec<Child>,
+    directory: Option<PathBuf>,
+}
+
+impl Processes {
+    /// Starts the platform, all targets and all vms.
+    pub(crate) fn start_all(&mut self, layout: &Layout) -> Result<(), String> {
+        let directory = env::temp_dir().join(format!("jujubebeam-up-{}", process::id()));
+        fs::create_dir_all(&directory).map_err(|e| e.to_string())?;
+        self.directory = Some(directory.clone());
+        let vms = directory.join("vms.json");
+        let list = serde_json::to_vec(&layout.vm_list()).map_err(|e| e.to_string())?;
+        fs::write(&vms, list).map_err(|e| e.to_string())?;
+        self.start(&[
+            "platform",
+            "--address",
+            &layout.platform.to_string(),
+            "--vms",
+            &vms.to_string_lossy(),
+        ])?;
+        for engine in &layout.engines {
+            let address = engine.address.to_string();
+            self.start(&["engine", "--address", &address, "--model", MODEL])?;
+        }
+        for service in &layout.services {
+            let address = service.address.to_string();
+            self.start(&["service", "--address", &address, "--name", &service.name])?;
+        }
+        for vm in &layout.vms {
+            let file = directory.join(format!("vm-{}.yaml", vm.id));
+            fs::write(&file, layout.process_settings(vm)).map_err(|e| e.to_string())?;
+            self.start(&["vm", "run", "--config", &file.to_string_lossy()])?;
+        }
+        Ok(())
+    }
+
+    fn start(&mut self, arguments: &[&str]) -> Result<(), String> {
+        let program = env::current_exe().map_err(|e| e.to_string())?;
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .spawn()
+            .map_err(|e| format!("{}: {e}", arguments.join(" ")))?;
+        self.children.push(child);
+        Ok(())
+    }
+
+    /// Stops all processes and removes their files.
+    pub(crate) fn stop(&mut self) {
+        for child in self.children.iter_mut().rev() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.children.clear();
+        if let Some(directory) = self.directory.take() {
+            let _ = fs::remove_dir_all(directory);
+        }
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
--- /dev/null
+++ b/crates/weights/src/wire.rs
@@ -0,0 +1,26 @@
+//! JSON bodies of the weight store.
+
+use serde::{Deserialize, Serialize};
+
+/// Path for grants. A refusal has status 429 and `Retry-After`.
+pub const GRANTS_PATH: &str = "/grants";
+
+/// Asks for permission to load an artifact.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantRequest {
+    /// Model with version, or adapter.
+    pub artifact: String,
+    /// Target that will load it.
+    pub target: String,
+}
+
+/// Permission to load an artifact.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Value that the engine presents to the weight store.
+    pub grant: String,
+    /// Size of the artifact.
+    pub size_bytes: u64,
+    /// Time that the transfer will take at the granted rate.
+    pub transfer_ms: u64,
+}
