Check settings documents with line, field and remedy

Cause: a fault in an operator's document was reported as serde's first error, without its field and without a remedy.

The documents are walked with their line numbers. Unknown fields are found by comparing with a sample document, so no second schema has to be kept; a field whose stem exists with another unit suffix is reported as a wrong unit. References, duplicates and zones are checked after that, and all findings of a stage are reported together.

Ruled out: a hand-written schema beside the structs, because the two would drift apart.

Before: one error at a time, line only.

--- /dev/null
+++ b/crates/operator/src/api.rs
@@ -0,0 +1,144 @@
+//! Bodies of the operator API below `/operator/v1`.
+
+use jujubebeam_core::{Revision, VmId};
+use serde::{Deserialize, Serialize};
+
+use crate::Finding;
+
+/// Paths of the operator API.
+pub mod paths {
+    /// One subtree: `GET` reads it, `PUT` changes it.
+    pub const SUBTREES: &str = "/operator/v1/subtrees";
+    /// What every vm has in force.
+    pub const STATUS: &str = "/operator/v1/status";
+    /// Why a request went where it went.
+    pub const EXPLAIN: &str = "/operator/v1/explain";
+}
+
+/// Path of one subtree. `name` is `fleet` or `teams/<team>`.
+pub fn subtree_path(name: &str) -> String {
+    format!("{}/{name}", paths::SUBTREES)
+}
+
+/// A subtree with its revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Subtree {
+    /// `fleet` or `teams/<team>`.
+    pub name: String,
+    /// Revision of the store at the last change; 0 if the subtree does not exist.
+    pub revision: Revision,
+    /// YAML text; empty if the subtree does not exist.
+    pub text: String,
+}
+
+/// Changes a subtree if it still has the expected revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeRequest {
+    /// Revision that the change is based on; 0 to create the subtree.
+    pub expected: Revision,
+    /// New YAML text; `None` deletes the subtree.
+    pub text: Option<String>,
+}
+
+/// Answer to an accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeAccepted {
+    /// Name of the subtree.
+    pub name: String,
+    /// Revision of the change.
+    pub revision: Revision,
+}
+
+/// Answer to a change that was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "reason")]
+pub enum ChangeRefused {
+    /// Another change came first.
+    Conflict {
+        /// The subtree as it is now.
+        current: Subtree,
+        /// What to do.
+        remedy: String,
+    },
+    /// The text has faults.
+    Invalid {
+        /// All faults that were found.
+        findings: Vec<Finding>,
+    },
+    /// This vm cannot accept changes now. Nothing was written.
+    NotAccepted {
+        /// Why.
+        message: String,
+        /// What to do.
+        remedy: String,
+    },
+    /// The store did not say whether the change took effect.
+    Unknown {
+        /// What to do.
+        remedy: String,
+    },
+}
+
+/// One subtree as a vm has it in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForce {
+    /// Name of the subtree.
+    pub name: String,
+    /// Revision in force.
+    pub revision: Revision,
+}
+
+/// State of one vm.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmStatus {
+    /// The vm.
+    pub vm: VmId,
+    /// Zone by name.
+    pub zone: String,
+    /// `live`, `leaving` or `unreachable`.
+    pub state: String,
+    /// Subtrees in force; empty if they are not known.
+    pub in_force: Vec<InForce>,
+}
+
+/// Answer to `GET /operator/v1/status`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusAnswer {
+    /// Vm that answers.
+    pub vm: VmId,
+    /// Whether its settings are fresh.
+    pub fresh: bool,
+    /// Age of its freshness proof.
+    pub settings_age_ms: u64,
+    /// Violations of invariants since it started.
+    pub violations: u64,
+    /// All vms that it knows.
+    pub vms: Vec<VmStatus>,
+    /// State of the targets.
+    #[serde(default)]
+    pub targets: Vec<TargetStatus>,
+}
+
+/// State of one target as the answering vm sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetStatus {
+    /// Name of the target.
+    pub target: String,
+    /// Zone by name.
+    pub zone: String,
+    /// Role in force.
+    pub role: String,
+    /// State that it reports, or `unreachable`.
+    pub state: String,
+    /// Requests in execution that it reports.
+    pub running_requests: u32,
+}
+
+/// Answer to `GET /operator/v1/explain/{request}`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExplainAnswer {
+    /// The request.
+    pub request_id: String,
+    /// Decisions in the order in which they were taken.
+    pub decisions: Vec<String>,
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,8 +1,21 @@
-//! Settings documents as operators write them, and the types of the operator API.
+//! Settings documents as operators write them, their check, and the types of the operator API.
+//!
+//! See `docs/SETTINGS.md` and `docs/design.md`, sections 7 and 8.
 
+pub mod api;
+mod check;
+mod checked;
+pub mod edit;
+mod finding;
 mod parse;
+mod schema;
+mod tree;
 
+pub use check::{check_fleet, check_team};
+pub use checked::{Checked, parse_checked};
+pub use finding::{Finding, render_findings};
 pub use parse::{ParseError, parse_fleet, parse_team};
+pub use tree::Tree;
 
 /// Store prefix of all settings.
 pub const SETTINGS_PREFIX: &str = "config/";
