Add the operators' client, metrics, traces and the settings reference

Cause: operators had no tool, and a process could not be observed.

The client reads and changes subtrees through any vm, with documented exit codes, JSON output and `--wait`. Metrics are atomics that one task sends to statsd, so a request costs no system call for them. Spans are off unless an OTLP endpoint is set.

Ruled out: passing the operators' key as an option, because other users of a machine can read command lines.

--- a/crates/jujubebeam/src/cli.rs
+++ b/crates/jujubebeam/src/cli.rs
@@ -1,81 +1,144 @@
 //! Command line of the binary.
 
+mod arguments;
+mod change;
+mod check;
+mod client;
+mod explain;
+mod failure;
+mod key;
+mod limit;
+mod output;
+mod rule;
+mod run;
+mod status;
+mod workspace;
+
 use std::ffi::OsString;
 use std::process::ExitCode;
 
+use error_stack::Report;
 use pico_args::Arguments;
 
-use crate::process_config::ProcessConfig;
-use crate::server;
+use failure::{CliResult, Failure};
 
 const HELP: &str = "\
 jujubebeam: serving system for a limited fleet
 
 USAGE:
-    jujubebeam run --config FILE
+    jujubebeam COMMAND [OPTIONS]
 
 COMMANDS:
-    run     Runs the daemon.
+    run          Runs the daemon.
+    check        Checks a settings file.
+    workspace    Lists, shows, creates, changes and deletes workspaces.
+    key          Creates, withdraws and hashes keys.
+    limit        Sets limits and spending of a workspace.
+    rule         Sets the rule for planned changes of a workspace.
+    change       Reads or replaces a whole subtree.
+    status       Shows vms, their settings in force and targets.
+    explain      Shows why a request went where it went.
 
 OPTIONS:
-    -h, --help     Prints this text.
-    --version      Prints the version.
+    -h, --help    Prints this text, or the help of a command.
+    --version     Prints the version.
 
 EXIT CODES:
     0  success
     1  failure
-    2  bad input
+    2  bad input; nothing was applied
+    3  conflict with another change; nothing was applied
+    4  no vm could be reached
+    5  the change was accepted, but `--wait` ran out of time
 ";
 
-/// Exit code for bad input.
-const BAD_INPUT: u8 = 2;
+/// A command with its help text.
+struct Command {
+    name: &'static str,
+    help: &'static str,
+    run: fn(Arguments) -> CliResult,
+}
+
+/// All commands.
+const COMMANDS: [Command; 9] = [
+    Command {
+        name: "run",
+        help: run::HELP,
+        run: run::run,
+    },
+    Command {
+        name: "check",
+        help: check::HELP,
+        run: check::run,
+    },
+    Command {
+        name: "workspace",
+        help: workspace::HELP,
+        run: workspace::run,
+    },
+    Command {
+        name: "key",
+        help: key::HELP,
+        run: key::run,
+    },
+    Command {
+        name: "limit",
+        help: limit::HELP,
+        run: limit::run,
+    },
+    Command {
+        name: "rule",
+        help: rule::HELP,
+        run: rule::run,
+    },
+    Command {
+        name: "change",
+        help: change::HELP,
+        run: change::run,
+    },
+    Command {
+        name: "status",
+        help: status::HELP,
+        run: status::run,
+    },
+    Command {
+        name: "explain",
+        help: explain::HELP,
+        run: explain::run,
+    },
+];
 
 /// Runs the command that the arguments name. The program's own name is not among them.
 pub fn run(args: Vec<OsString>) -> ExitCode {
-    let mut args = Arguments::from_vec(args);
+    match dispatch(Arguments::from_vec(args)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("jujubebeam: {}", failure::render(&report));
+            ExitCode::from(report.current_context().exit_code())
+        }
+    }
+}
+
+fn dispatch(mut args: Arguments) -> CliResult {
     if args.contains("--version") {
         println!("jujubebeam {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
+        return Ok(());
     }
-    let command = args.subcommand().ok().flatten();
-    if command.is_none() || args.contains(["-h", "--help"]) {
+    let name = args
+        .subcommand()
+        .map_err(|e| Report::new(Failure::BadInput).attach(e.to_string()))?;
+    let wants_help = args.contains(["-h", "--help"]);
+    let Some(name) = name else {
         print!("{HELP}");
-        return ExitCode::SUCCESS;
-    }
-    match command.as_deref() {
-        Some("run") => run_daemon(args),
-        Some(other) => bad_input(&format!(
-            "unknown command {other:?}; see `jujubebeam --help`"
-        )),
-        None => ExitCode::SUCCESS,
-    }
-}
-
-fn run_daemon(mut args: Arguments) -> ExitCode {
-    let path: String = match args.value_from_str("--config") {
-        Ok(path) => path,
-        Err(e) => return bad_input(&format!("{e}; pass `--config FILE`")),
+        return Ok(());
     };
-    let config = match ProcessConfig::load(&path) {
-        Ok(config) => config,
-        Err(e) => return bad_input(&e.to_string()),
+    let Some(command) = COMMANDS.iter().find(|c| c.name == name) else {
+        return Err(Report::new(Failure::BadInput)
+            .attach(format!("unknown command {name:?}; see `jujubebeam --help`")));
     };
-    // Libraries log their own start-up at `info`, which would bury the daemon's lines.
-    let filter = format!("warn,jujubebeam={}", config.log.level);
-    let logger = flexi_logger::Logger::try_with_str(&filter).and_then(flexi_logger::Logger::start);
-    if let Err(e) = logger {
-        return bad_input(&format!("log.level {:?}: {e}", config.log.level));
-    }
-    match server::run(config) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            log::error!("vm: {e}");
-            ExitCode::FAILURE
-        }
+    if wants_help {
+        print!("{}", command.help);
+        return Ok(());
     }
-}
-
-fn bad_input(message: &str) -> ExitCode {
-    eprintln!("jujubebeam: {message}");
-    ExitCode::from(BAD_INPUT)
+    (command.run)(args)
 }
--- /dev/null
+++ b/crates/jujubebeam/src/cli/run.rs
@@ -0,0 +1,44 @@
+//! `jujubebeam run`
+
+use error_stack::Report;
+use pico_args::Arguments;
+
+use super::arguments::{bad_input, finish, required};
+use super::failure::{CliResult, Failure};
+use crate::process_config::ProcessConfig;
+use crate::{server, trace};
+
+pub(crate) const HELP: &str = "\
+Runs the daemon until SIGTERM or SIGINT, then drains.
+
+USAGE:
+    jujubebeam run --config FILE
+
+OPTIONS:
+    --config FILE    Settings file of the process; see docs/SETTINGS.md.
+    --check          Checks the file and exits.
+";
+
+/// Runs the command.
+pub(crate) fn run(mut args: Arguments) -> CliResult {
+    let check_only = args.contains("--check");
+    let path: String = required(&mut args, "--config")?;
+    finish(args)?;
+    let config = ProcessConfig::load(&path).map_err(|e| bad_input(e.to_string()))?;
+    if check_only {
+        println!("{path}: no faults");
+        return Ok(());
+    }
+    start_log(&config.log.level)?;
+    let _guard = trace::start(&config.trace).map_err(bad_input)?;
+    server::run(config).map_err(|e| Report::new(Failure::Failed).attach(e.to_string()))
+}
+
+fn start_log(level: &str) -> CliResult {
+    // Libraries log their own start-up at `info`, which would bury the daemon's lines.
+    let filter = format!("warn,jujubebeam={level}");
+    flexi_logger::Logger::try_with_str(&filter)
+        .and_then(|logger| logger.format(flexi_logger::opt_format).start())
+        .map(|_| ())
+        .map_err(|e| bad_input(format!("log.level {level:?}: {e}")))
+}
--- a/crates/jujubebeam/src/lib.rs
+++ b/crates/jujubebeam/src/lib.rs
@@ -7,11 +7,13 @@
 mod context;
 mod control;
 mod dispatch;
+mod metrics;
 mod part;
 mod peers;
 mod process_config;
 mod recorder;
 mod server;
 mod shared;
+mod trace;
 
 pub use cli::run;
