Add the settings replica and membership machines

Settings were read from the store by every vm, and addresses came from the lagging vm list. The two machines of design sections 5.3 and 5.5 now decide this without I/O.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod ids;
 pub mod invariant;
 mod machine;
+pub mod membership;
 pub mod peer;
 pub mod settings;
 pub mod store;
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,217 @@
+//! What a vm knows of the other vms, the address answers and the vm's own drain.
+//!
+//! See `docs/design.md`, section 5.5. Heartbeats travel as [`Beat`]s without names; whole records
+//! are sent for joins, restarts and leaving only.
+
+mod config;
+mod drain;
+mod gossip;
+mod view;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::{Deserialize, Serialize};
+
+pub use config::MembershipConfig;
+use drain::Drain;
+
+use crate::{Incarnation, Machine, VmId};
+
+/// Whether a vm takes new callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// The vm takes new callers.
+    #[default]
+    Live,
+    /// The vm finishes its work and ends.
+    Leaving,
+}
+
+/// A vm as vms tell one another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Number of the vm.
+    pub vm: VmId,
+    /// Zone by name.
+    pub zone: String,
+    /// Address for callers.
+    pub caller_address: String,
+    /// Address for other vms.
+    pub peer_address: String,
+    /// Run of the vm. Zero if only the platform's list has told of the vm.
+    pub incarnation: Incarnation,
+    /// Whether the vm takes new callers.
+    pub state: VmState,
+    /// Grows while the vm runs.
+    pub heartbeat: u32,
+}
+
+impl Record {
+    /// Order in which records of one vm replace each other. Leaving is never taken back within
+    /// one run.
+    fn version(&self) -> (Incarnation, VmState, u32) {
+        (self.incarnation, self.state, self.heartbeat)
+    }
+}
+
+/// A heartbeat: vm, run and counter.
+pub type Beat = (VmId, Incarnation, u32);
+
+/// A message from one vm's membership to another's.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Changes that the sender has learned of.
+    Gossip {
+        /// Heartbeats of known runs.
+        beats: Vec<Beat>,
+        /// Whole records.
+        records: Vec<Record>,
+    },
+    /// Asks for the whole records of vms whose run the sender does not know.
+    Want(Vec<VmId>),
+    /// The sender is leaving.
+    Farewell(Record),
+    /// Answers [`Message::Farewell`].
+    Noted,
+}
+
+/// What a [`Membership`] reacts to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Event {
+    /// Time has passed. Carries the number of requests that run on this vm.
+    Tick {
+        /// Requests that run on this vm.
+        running: usize,
+    },
+    /// The platform's list was read.
+    Listed(Vec<Record>),
+    /// A message of another vm arrived.
+    Peer {
+        /// Sending vm.
+        from: VmId,
+        /// The message.
+        message: Message,
+    },
+    /// An exchange with another vm ended.
+    Exchanged {
+        /// The other vm.
+        with: VmId,
+        /// Whether it answered.
+        answered: bool,
+    },
+    /// This vm is to end.
+    Leave {
+        /// Whether to serve on for the lifetime of address answers even if no request runs.
+        linger: bool,
+    },
+    /// Leases and usage counters are handed over.
+    HandedOver,
+}
+
+/// What a [`Membership`] asks its surroundings to do.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Sends a message to another vm.
+    Send {
+        /// Receiving vm.
+        to: VmId,
+        /// The message.
+        message: Message,
+    },
+    /// Hands over leases and usage counters, then reports [`Event::HandedOver`].
+    HandOver,
+    /// Stops the listeners and ends the process.
+    Exit,
+    /// The vms that [`Membership::live`] or [`Membership::listed`] return have changed.
+    ViewChanged,
+}
+
+/// What is known of one other vm.
+#[derive(Clone, Debug)]
+struct Known {
+    record: Record,
+    /// Time of the last new heartbeat.
+    heard: Duration,
+    listed: bool,
+    listed_leaving: bool,
+    failures: u32,
+    suspect_until: Option<Duration>,
+}
+
+/// The vms of the fleet as one vm sees them.
+#[derive(Debug)]
+pub struct Membership {
+    config: MembershipConfig,
+    rng: SmallRng,
+    own: Record,
+    others: BTreeMap<VmId, Known>,
+    /// Changes to pass on: rounds that remain, and whether the whole record is needed.
+    news: BTreeMap<VmId, (u8, bool)>,
+    next_gossip: Duration,
+    next_heartbeat: Duration,
+    drain: Option<Drain>,
+    last_view: (Vec<VmId>, Vec<VmId>),
+}
+
+impl Membership {
+    /// Creates the membership of a fresh process.
+    pub fn new(config: MembershipConfig) -> Self {
+        let mut news = BTreeMap::new();
+        news.insert(config.own.vm, (config.repeats, true));
+        Self {
+            rng: SmallRng::seed_from_u64(config.seed),
+            own: config.own.clone(),
+            others: BTreeMap::new(),
+            news,
+            next_gossip: Duration::ZERO,
+            next_heartbeat: Duration::ZERO,
+            drain: None,
+            last_view: Default::default(),
+            config,
+        }
+    }
+
+    fn tick(&mut self, running: usize, now: Duration, out: &mut Vec<Command>) {
+        self.forget_gone(now);
+        self.tick_gossip(now, out);
+        self.tick_drain(running, now, out);
+    }
+
+    fn on_peer(&mut self, from: VmId, message: Message, now: Duration, out: &mut Vec<Command>) {
+        match message {
+            Message::Gossip { beats, records } => self.on_gossip(from, beats, records, now, out),
+            Message::Want(vms) => self.answer_want(from, &vms, out),
+            Message::Farewell(record) => {
+                self.merge(record, now);
+                let message = Message::Noted;
+                out.push(Command::Send { to: from, message });
+            }
+            Message::Noted => self.on_noted(from),
+        }
+    }
+}
+
+impl Machine for Membership {
+    type Event = Event;
+    type Command = Command;
+
+    fn step(&mut self, event: Event, now: Duration, out: &mut Vec<Command>) {
+        match event {
+            Event::Tick { running } => self.tick(running, now, out),
+            Event::Listed(records) => self.on_listed(records, now),
+            Event::Peer { from, message } => self.on_peer(from, message, now, out),
+            Event::Exchanged { with, answered } => self.on_exchanged(with, answered, now),
+            Event::Leave { linger } => self.leave(linger, now, out),
+            Event::HandedOver => self.on_handed_over(out),
+        }
+        let view = (self.live(now), self.listed());
+        if view != self.last_view {
+            self.last_view = view;
+            out.push(Command::ViewChanged);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/drain.rs
@@ -0,0 +1,104 @@
+//! This vm's own leaving.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::{Command, Membership, Message, VmState};
+use crate::VmId;
+use crate::invariant::{self, Invariant};
+
+/// Progress of leaving.
+#[derive(Clone, Debug)]
+pub(super) struct Drain {
+    /// Address answers that name this vm have ended at this time.
+    until: Duration,
+    linger: bool,
+    running: usize,
+    noted: BTreeSet<VmId>,
+    next_farewell: Duration,
+    handing_over: bool,
+}
+
+impl Membership {
+    /// Whether this vm is leaving.
+    pub fn is_leaving_itself(&self) -> bool {
+        self.drain.is_some()
+    }
+
+    pub(super) fn leave(&mut self, linger: bool, now: Duration, out: &mut Vec<Command>) {
+        if let Some(drain) = &mut self.drain {
+            drain.linger &= linger;
+            return;
+        }
+        self.own.state = VmState::Leaving;
+        self.own.heartbeat += 1;
+        self.news.insert(self.own.vm, (self.config.repeats, true));
+        let lasts = self.config.address_lifetime + self.config.linger;
+        self.drain = Some(Drain {
+            until: if self.config.omit_linger {
+                now
+            } else {
+                now + lasts
+            },
+            linger,
+            running: 0,
+            noted: BTreeSet::new(),
+            next_farewell: now,
+            handing_over: false,
+        });
+        self.say_farewell(now, out);
+    }
+
+    /// Tells every peer that has not confirmed it yet.
+    fn say_farewell(&mut self, now: Duration, out: &mut Vec<Command>) {
+        let peers: Vec<_> = self.others.keys().copied().collect();
+        let Some(drain) = &mut self.drain else {
+            return;
+        };
+        if now < drain.next_farewell {
+            return;
+        }
+        drain.next_farewell = now + self.config.farewell_interval;
+        for to in peers.into_iter().filter(|vm| !drain.noted.contains(vm)) {
+            let message = Message::Farewell(self.own.clone());
+            out.push(Command::Send { to, message });
+        }
+    }
+
+    pub(super) fn on_noted(&mut self, from: VmId) {
+        if let Some(drain) = &mut self.drain {
+            drain.noted.insert(from);
+        }
+    }
+
+    pub(super) fn tick_drain(&mut self, running: usize, now: Duration, out: &mut Vec<Command>) {
+        self.say_farewell(now, out);
+        let Some(drain) = &mut self.drain else {
+            return;
+        };
+        drain.running = running;
+        let lingers = drain.linger && now < drain.until;
+        if running > 0 || lingers || drain.handing_over {
+            return;
+        }
+        drain.handing_over = true;
+        out.push(Command::HandOver);
+    }
+
+    pub(super) fn on_handed_over(&mut self, out: &mut Vec<Command>) {
+        let Some(drain) = &mut self.drain else {
+            return;
+        };
+        // A caller with an old answer may have come while the hand-over ran.
+        if drain.running > 0 {
+            drain.handing_over = false;
+            return;
+        }
+        invariant::check(
+            Invariant::GracefulShutdownCutsNothing,
+            drain.handing_over,
+            || "the vm exits before it has drained".into(),
+        );
+        out.push(Command::Exit);
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/view.rs
@@ -0,0 +1,177 @@
+//! Merging of what is heard, and the views that others use.
+
+use std::time::Duration;
+
+use super::{Known, Membership, Record, VmState};
+use crate::VmId;
+
+impl Membership {
+    /// Takes a record over if it is newer. Returns whether it was.
+    pub(super) fn merge(&mut self, record: Record, now: Duration) -> bool {
+        let vm = record.vm;
+        if vm == self.own.vm {
+            return false;
+        }
+        let present = self.others.get_mut(&vm);
+        let whole = match present {
+            Some(known) if record.version() <= known.record.version() => return false,
+            Some(known) => {
+                let (old, new) = (known.record.version(), record.version());
+                known.record = record;
+                known.heard = now;
+                (old.0, old.1) != (new.0, new.1)
+            }
+            None => {
+                self.others.insert(vm, Known::new(record, now, false));
+                true
+            }
+        };
+        let (_, pending_whole) = self.news.get(&vm).copied().unwrap_or_default();
+        let news = (self.config.repeats, whole || pending_whole);
+        self.news.insert(vm, news);
+        true
+    }
+
+    pub(super) fn on_listed(&mut self, records: Vec<Record>, now: Duration) {
+        for known in self.others.values_mut() {
+            known.listed = false;
+        }
+        for record in records {
+            let vm = record.vm;
+            if vm == self.own.vm {
+                continue;
+            }
+            let leaving = record.state == VmState::Leaving;
+            // The list knows no runs, so what it says never replaces what the vm says itself.
+            let placeholder = Record {
+                incarnation: Default::default(),
+                state: VmState::Live,
+                heartbeat: 0,
+                ..record
+            };
+            let known = self.others.entry(vm);
+            let known = known.or_insert_with(|| Known::new(placeholder, now, true));
+            known.listed = true;
+            known.listed_leaving = leaving;
+        }
+    }
+
+    pub(super) fn on_exchanged(&mut self, with: VmId, answered: bool, now: Duration) {
+        let limit = self.config.failures;
+        let retry_at = now + self.config.retry_after;
+        let Some(known) = self.others.get_mut(&with) else {
+            return;
+        };
+        if answered {
+            known.failures = 0;
+            known.suspect_until = None;
+            return;
+        }
+        known.failures += 1;
+        if known.failures >= limit {
+            known.suspect_until = Some(retry_at);
+        }
+    }
+
+    /// Drops vms that neither the list nor their heartbeats show any more.
+    pub(super) fn forget_gone(&mut self, now: Duration) {
+        let limit = self.unreachable_after();
+        self.others
+            .retain(|_, known| known.listed || now < known.heard + limit * 2);
+        let others = &self.others;
+        self.news
+            .retain(|vm, _| *vm == self.own.vm || others.contains_key(vm));
+    }
+
+    /// Number of vms that this vm knows, itself included.
+    pub(super) fn size(&self) -> u32 {
+        self.others.len() as u32 + 1
+    }
+
+    pub(super) fn heartbeat_interval(&self) -> Duration {
+        let scaled = self.config.heartbeat_per_vm * self.size();
+        scaled.max(self.config.heartbeat_min)
+    }
+
+    fn unreachable_after(&self) -> Duration {
+        let missed = self.heartbeat_interval() * self.config.missed_heartbeats;
+        missed + self.config.gossip_allowance
+    }
+
+    fn is_reachable(&self, known: &Known, now: Duration) -> bool {
+        let suspect = known.suspect_until.is_some_and(|until| now < until);
+        !suspect && now < known.heard + self.unreachable_after()
+    }
+
+    fn is_leaving(known: &Known) -> bool {
+        known.listed_leaving || known.record.state == VmState::Leaving
+    }
+
+    /// Vms that can be reached, this one included. Leaving vms are among them, as they still run.
+    pub fn live(&self, now: Duration) -> Vec<VmId> {
+        let others = self.others.iter();
+        let mut live: Vec<_> = others
+            .filter(|(_, known)| self.is_reachable(known, now))
+            .map(|(vm, _)| *vm)
+            .chain([self.own.vm])
+            .collect();
+        live.sort_unstable();
+        live
+    }
+
+    /// Vms of the platform's list, this one included.
+    pub fn listed(&self) -> Vec<VmId> {
+        let others = self.others.iter().filter(|(_, known)| known.listed);
+        let mut listed: Vec<_> = others.map(|(vm, _)| *vm).chain([self.own.vm]).collect();
+        listed.sort_unstable();
+        listed
+    }
+
+    /// Record of a vm.
+    pub fn record(&self, vm: VmId) -> Option<&Record> {
+        if vm == self.own.vm {
+            return Some(&self.own);
+        }
+        self.others.get(&vm).map(|known| &known.record)
+    }
+
+    /// Vms that a caller may use, best first: the caller's zone before the others, each part
+    /// rotated by `hash` so that callers spread. Leaving and unreachable vms are left out.
+    pub fn addresses(&self, zone: &str, hash: u64, now: Duration) -> Vec<&Record> {
+        let others = self.others.values();
+        let usable = others.filter(|k| !Self::is_leaving(k) && self.is_reachable(k, now));
+        let mut usable: Vec<_> = usable.map(|known| &known.record).collect();
+        if self.own.state == VmState::Live {
+            usable.push(&self.own);
+        }
+        usable.sort_by_key(|record| record.vm);
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            usable.into_iter().partition(|r| r.zone == zone);
+        for part in [&mut near, &mut far] {
+            if !part.is_empty() {
+                let shift = (hash % part.len() as u64) as usize;
+                part.rotate_left(shift);
+            }
+        }
+        near.append(&mut far);
+        near
+    }
+
+    /// How long callers may keep an address answer.
+    pub fn address_lifetime(&self) -> Duration {
+        self.config.address_lifetime
+    }
+}
+
+impl Known {
+    fn new(record: Record, now: Duration, listed: bool) -> Self {
+        Self {
+            record,
+            heard: now,
+            listed,
+            listed_leaving: false,
+            failures: 0,
+            suspect_until: None,
+        }
+    }
+}
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -3,6 +3,7 @@
 //! See `docs/design.md`, sections 5.3 and 7, and `docs/SETTINGS.md`.
 
 pub mod document;
+pub mod replica;
 mod snapshot;
 
 pub use snapshot::{
--- /dev/null
+++ b/crates/core/src/settings/replica/config.rs
@@ -0,0 +1,90 @@
+//! Options of the settings replica, see `docs/design.md`, section 5.3.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::VmId;
+
+/// Options of a [`super::Replica`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReplicaConfig {
+    /// This vm.
+    pub vm: VmId,
+    /// Seed of the random choice of peers.
+    pub seed: u64,
+    /// Prefix of all settings in the store.
+    pub prefix: String,
+    /// Vms per region that watch the store.
+    pub watchers: usize,
+    /// Time between two reads of the store's revision by a watcher.
+    pub read_interval: Duration,
+    /// Time between two full reads by a watcher. They find keys that were deleted around the
+    /// system while no watch was open.
+    pub full_read_interval: Duration,
+    /// Time after which a store call without a reply is made again.
+    pub call_timeout: Duration,
+    /// Time before a watch that ended is opened again.
+    pub watch_retry: Duration,
+    /// Time between two rounds of anti-entropy.
+    pub ask_interval: Duration,
+    /// Age of the freshness proof from which keyed routes are refused.
+    pub stale_limit: Duration,
+    /// Further time for which running keyed streams go on.
+    pub stream_grace: Duration,
+    /// Age of the freshness proof at which outage mode ends.
+    pub outage_limit: Duration,
+    /// Time in which the probe of a change must reach the store and a majority.
+    pub probe_timeout: Duration,
+    /// Time in which a change must be written.
+    pub write_timeout: Duration,
+    /// Time in which a majority must confirm a written change.
+    pub confirm_timeout: Duration,
+    /// Largest total size of the texts in one page. A single larger text is sent alone.
+    pub page_bytes: usize,
+    /// Switches that leave a mechanism out, for tests that show what it is for.
+    pub omit: Omit,
+}
+
+/// Mechanisms that a test can leave out. All are in force by default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Omit {
+    /// Apply entries of any revision.
+    pub revision_order: bool,
+    /// Serve whatever the age of the freshness proof is.
+    pub stale_limit: bool,
+    /// Enter outage mode without a majority.
+    pub outage_majority: bool,
+    /// Report a change as accepted before a majority holds it.
+    pub confirmation: bool,
+    /// Take an unknown store answer for a failed write.
+    pub read_back: bool,
+    /// Count vms towards a majority that were never fresh since their start.
+    pub witness: bool,
+    /// Ask no peers.
+    pub anti_entropy: bool,
+}
+
+impl Default for ReplicaConfig {
+    fn default() -> Self {
+        Self {
+            vm: VmId(0),
+            seed: 0,
+            prefix: "config/".into(),
+            watchers: 3,
+            read_interval: Duration::from_secs(1),
+            full_read_interval: Duration::from_secs(60),
+            call_timeout: Duration::from_secs(1),
+            watch_retry: Duration::from_secs(1),
+            ask_interval: Duration::from_millis(300),
+            stale_limit: Duration::from_millis(2500),
+            stream_grace: Duration::from_secs(1),
+            outage_limit: Duration::from_secs(15 * 60),
+            probe_timeout: Duration::from_secs(2),
+            write_timeout: Duration::from_secs(8),
+            confirm_timeout: Duration::from_secs(3),
+            page_bytes: 256 * 1024,
+            omit: Omit::default(),
+        }
+    }
+}
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -61,6 +61,13 @@
         /// Common prefix of the keys.
         prefix: String,
     },
+    /// Reads the keys with a prefix that were written after a revision.
+    ListSince {
+        /// Common prefix of the keys.
+        prefix: String,
+        /// Keys whose last write is at or below this revision are left out.
+        after: Revision,
+    },
     /// Writes a key if its present state matches.
     Cas {
         /// Key to write.
@@ -124,7 +131,7 @@
         /// Revision of the store when it answered.
         store: Revision,
     },
-    /// Answer to `List`.
+    /// Answer to `List` and `ListSince`.
     Values {
         /// All entries with the prefix.
         entries: Vec<Entry>,
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -50,7 +50,8 @@
     pub async fn perform(&self, op: StoreOp) -> StoreReply {
         let result = match op {
             StoreOp::Get { key } => self.get(key).await,
-            StoreOp::List { prefix } => self.list(prefix).await,
+            StoreOp::List { prefix } => self.list(prefix, Revision(0)).await,
+            StoreOp::ListSince { prefix, after } => self.list(prefix, after).await,
             StoreOp::Cas {
                 key,
                 expected,
@@ -70,7 +71,7 @@
     async fn get(&self, key: String) -> Result<StoreReply, CallError> {
         let request = RangeRequest {
             key: Base64(key.into_bytes()),
-            range_end: Base64::default(),
+            ..RangeRequest::default()
         };
         let answer: RangeResponse = self.json.post(paths::RANGE, &request).await?.body;
         Ok(StoreReply::Value {
@@ -79,10 +80,14 @@
         })
     }
 
-    async fn list(&self, prefix: String) -> Result<StoreReply, CallError> {
+    async fn list(&self, prefix: String, after: Revision) -> Result<StoreReply, CallError> {
         let request = RangeRequest {
             range_end: Base64(prefix_end(&prefix)),
             key: Base64(prefix.into_bytes()),
+            min_mod_revision: Int64(match after.0 {
+                0 => 0,
+                after => after as i64 + 1,
+            }),
         };
         let answer: RangeResponse = self.json.post(paths::RANGE, &request).await?.body;
         Ok(StoreReply::Values {
@@ -259,7 +264,7 @@
     RequestOp {
         request_range: Some(RangeRequest {
             key: Base64(key.as_bytes().to_vec()),
-            range_end: Base64::default(),
+            ..RangeRequest::default()
         }),
         ..RequestOp::default()
     }
--- a/crates/store/src/wire.rs
+++ b/crates/store/src/wire.rs
@@ -113,6 +113,8 @@
     pub key: Base64,
     /// First key after the range; empty for a single key.
     pub range_end: Base64,
+    /// Keys whose last write is below this revision are left out.
+    pub min_mod_revision: Int64,
 }
 
 /// Answer to [`RangeRequest`].
