--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -82,11 +82,10 @@
 /// What a [`Membership`] reacts to.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Event {
-    /// Time has passed. Carries the number of requests that run on this vm.
-    Tick {
-        /// Requests that run on this vm.
-        running: usize,
-    },
+    /// Time has passed.
+    Tick,
+    /// Number of requests that run on this vm.
+    Running(usize),
     /// The platform's list was read.
     Listed(Vec<Record>),
     /// A message of another vm arrived.
@@ -154,6 +153,7 @@
     next_gossip: Duration,
     next_heartbeat: Duration,
     drain: Option<Drain>,
+    running: usize,
     last_view: (Vec<VmId>, Vec<VmId>),
 }
 
@@ -170,15 +170,16 @@
             next_gossip: Duration::ZERO,
             next_heartbeat: Duration::ZERO,
             drain: None,
+            running: 0,
             last_view: Default::default(),
             config,
         }
     }
 
-    fn tick(&mut self, running: usize, now: Duration, out: &mut Vec<Command>) {
+    fn tick(&mut self, now: Duration, out: &mut Vec<Command>) {
         self.forget_gone(now);
         self.tick_gossip(now, out);
-        self.tick_drain(running, now, out);
+        self.tick_drain(now, out);
     }
 
     fn on_peer(&mut self, from: VmId, message: Message, now: Duration, out: &mut Vec<Command>) {
@@ -201,7 +202,8 @@
 
     fn step(&mut self, event: Event, now: Duration, out: &mut Vec<Command>) {
         match event {
-            Event::Tick { running } => self.tick(running, now, out),
+            Event::Tick => self.tick(now, out),
+            Event::Running(running) => self.running = running,
             Event::Listed(records) => self.on_listed(records, now),
             Event::Peer { from, message } => self.on_peer(from, message, now, out),
             Event::Exchanged { with, answered } => self.on_exchanged(with, answered, now),
--- a/crates/core/src/membership/drain.rs
+++ b/crates/core/src/membership/drain.rs
@@ -13,7 +13,6 @@
     /// Address answers that name this vm have ended at this time.
     until: Duration,
     linger: bool,
-    running: usize,
     noted: BTreeSet<VmId>,
     next_farewell: Duration,
     handing_over: bool,
@@ -41,7 +40,6 @@
                 now + lasts
             },
             linger,
-            running: 0,
             noted: BTreeSet::new(),
             next_farewell: now,
             handing_over: false,
@@ -71,14 +69,13 @@
         }
     }
 
-    pub(super) fn tick_drain(&mut self, running: usize, now: Duration, out: &mut Vec<Command>) {
+    pub(super) fn tick_drain(&mut self, now: Duration, out: &mut Vec<Command>) {
         self.say_farewell(now, out);
         let Some(drain) = &mut self.drain else {
             return;
         };
-        drain.running = running;
         let lingers = drain.linger && now < drain.until;
-        if running > 0 || lingers || drain.handing_over {
+        if self.running > 0 || lingers || drain.handing_over {
             return;
         }
         drain.handing_over = true;
@@ -90,14 +87,14 @@
             return;
         };
         // A caller with an old answer may have come while the hand-over ran.
-        if drain.running > 0 {
+        if self.running > 0 {
             drain.handing_over = false;
             return;
         }
         invariant::check(
             Invariant::GracefulShutdownCutsNothing,
-            drain.handing_over,
-            || "the vm exits before it has drained".into(),
+            drain.handing_over && self.running == 0,
+            || format!("the vm exits with {} requests", self.running),
         );
         out.push(Command::Exit);
     }
--- a/crates/jujubebeam/src/caller.rs
+++ b/crates/jujubebeam/src/caller.rs
@@ -7,9 +7,12 @@
 mod respond;
 mod service;
 
-use ntex::web::{self, HttpResponse, ServiceConfig};
+use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
+
+use jujubebeam_core::Clock;
 
 use crate::context::Context;
+use crate::running;
 
 /// State handed to handlers.
 pub(crate) type ContextState = web::types::State<Context>;
@@ -20,8 +23,8 @@
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready))
         .route("/v1/addresses", web::get().to(addresses::list))
-        .route("/v1/chat/completions", web::post().to(chat::complete))
-        .service(web::resource("/{path}*").to(service::forward));
+        .route("/v1/chat/completions", web::post().to(complete))
+        .service(web::resource("/{path}*").to(forward));
 }
 
 async fn health() -> HttpResponse {
@@ -29,8 +32,33 @@
 }
 
 async fn ready(context: ContextState) -> HttpResponse {
-    if context.shared.snapshot().is_none() {
+    let shared = &context.shared;
+    if shared.membership.is_leaving() {
+        return HttpResponse::ServiceUnavailable().body("shutting down\n");
+    }
+    if shared.snapshot().is_none() {
         return HttpResponse::ServiceUnavailable().body("settings have not arrived yet\n");
     }
+    if !shared.settings.permit().may_start(shared.clock.now()) {
+        return HttpResponse::ServiceUnavailable().body("settings are stale\n");
+    }
     HttpResponse::Ok().body("ready\n")
 }
+
+async fn complete(
+    context: ContextState,
+    request: HttpRequest,
+    payload: web::types::Payload,
+) -> HttpResponse {
+    let guard = context.shared.start_request();
+    running::hold(chat::complete(context, request, payload).await, guard)
+}
+
+async fn forward(
+    context: ContextState,
+    request: HttpRequest,
+    payload: web::types::Payload,
+) -> HttpResponse {
+    let guard = context.shared.start_request();
+    running::hold(service::forward(context, request, payload).await, guard)
+}
--- a/crates/jujubebeam/src/caller/addresses.rs
+++ b/crates/jujubebeam/src/caller/addresses.rs
@@ -1,39 +1,33 @@
 //! Answers which entry address a caller should use.
 
 use jujubebeam_caller::{Address, AddressList};
-use jujubebeam_vmlist::ListedState;
+use jujubebeam_core::Clock;
 use ntex::web::{HttpRequest, HttpResponse};
 
 use super::ContextState;
 
-/// How long callers may keep an answer.
-const LIFETIME_MS: u64 = 10_000;
+/// Odd constant of Fibonacci hashing, which spreads consecutive numbers.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// Handles `GET /v1/addresses`.
 pub(crate) async fn list(context: ContextState, request: HttpRequest) -> HttpResponse {
     let zone = query_value(request.query_string(), "zone").unwrap_or_default();
-    let vms = context.shared.vms();
-    let mut live: Vec<_> = vms
-        .vms
-        .iter()
-        .filter(|vm| vm.state == ListedState::Live)
-        .collect();
-    if !live.is_empty() {
-        // Rotating by a serial spreads callers that ask the same vm.
-        let shift = context.shared.next_serial() as usize % live.len();
-        live.rotate_left(shift);
-    }
-    live.sort_by_key(|vm| vm.zone != zone);
-    let addresses = live
-        .iter()
-        .map(|vm| Address {
-            url: format!("http://{}", vm.caller_address),
-            zone: vm.zone.clone(),
+    let shared = &context.shared;
+    // The serial spreads callers that ask the same vm, the vm those that ask different ones.
+    let seed = shared.next_serial() ^ (u64::from(shared.config.vm.0) << 32);
+    let hash = seed.wrapping_mul(SPREAD) >> 16;
+    let machine = shared.membership.machine();
+    let records = machine.addresses(zone, hash, shared.clock.now());
+    let addresses = records
+        .into_iter()
+        .map(|record| Address {
+            url: format!("http://{}", record.caller_address),
+            zone: record.zone.clone(),
         })
         .collect();
     HttpResponse::Ok().json(&AddressList {
         addresses,
-        lifetime_ms: LIFETIME_MS,
+        lifetime_ms: machine.address_lifetime().as_millis() as u64,
     })
 }
 
--- a/crates/jujubebeam/src/caller/chat.rs
+++ b/crates/jujubebeam/src/caller/chat.rs
@@ -54,7 +54,7 @@
     let route = snapshot
         .route_for_model(request.path(), &chat.model)
         .ok_or_else(|| unknown_model(&chat.model))?;
-    let workspace = auth::authorize(&snapshot, route, request.headers())?;
+    let workspace = auth::authorize(&context.shared, &snapshot, route, request.headers())?;
     if workspace.is_some_and(|w| !w.may_use_model(&chat.model)) {
         return Err(CallerError::not_run(
             ErrorKind::NotAllowed,
--- a/crates/jujubebeam/src/caller/service.rs
+++ b/crates/jujubebeam/src/caller/service.rs
@@ -53,7 +53,7 @@
                 "check the path",
             )
         })?;
-    let workspace = auth::authorize(&snapshot, route, request.headers())?;
+    let workspace = auth::authorize(&context.shared, &snapshot, route, request.headers())?;
     let method = request.method().clone();
     if !route.is_repeatable(method.as_str())
         && !request.headers().contains_key(headers::IDEMPOTENCY_KEY)
--- a/crates/jujubebeam/src/control.rs
+++ b/crates/jujubebeam/src/control.rs
@@ -1,8 +1,8 @@
 //! Control thread: keeps settings, the vm list and load reports up to date.
 
 mod loads;
-mod settings;
-mod vm_list;
+pub(crate) mod membership;
+pub(crate) mod settings;
 
 use std::sync::Arc;
 
@@ -13,6 +13,6 @@
 pub(crate) async fn start(shared: Arc<Shared>) {
     let context = Context::new(shared).await;
     settings::start(&context);
-    vm_list::start(&context);
+    membership::start(&context);
     loads::start(&context);
 }
--- a/crates/jujubebeam/src/lib.rs
+++ b/crates/jujubebeam/src/lib.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod process_config;
 mod recorder;
+mod running;
 mod server;
 mod shared;
 
--- a/crates/jujubebeam/src/part.rs
+++ b/crates/jujubebeam/src/part.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use jujubebeam_core::peer::PeerMessage;
 use jujubebeam_core::store::{StoreCall, StoreReply};
 use jujubebeam_core::{Clock, Machine};
 
@@ -23,20 +24,50 @@
 
     /// Performs one command. Slow work is spawned and reports back through [`feed`].
     fn perform(context: &Context, command: <Self::Machine as Machine>::Command);
+
+    /// Called after the commands of one event were performed.
+    fn after(_context: &Context) {}
 }
 
 /// Hands one event to a machine and performs the commands that result.
 pub(crate) fn feed<P: Part>(context: &Context, event: <P::Machine as Machine>::Event) {
-    let mut commands = Vec::new();
-    {
-        let mut machine = P::machine(&context.shared)
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        machine.step(event, context.shared.clock.now(), &mut commands);
+    for command in step::<P>(context, event) {
+        P::perform(context, command);
     }
-    for command in commands {
+    P::after(context);
+}
+
+/// Hands over one event that came with a peer's message. The first command that `reply` turns into
+/// a message is returned, so that it travels back in the same exchange; the others are performed.
+pub(crate) fn feed_peer<P: Part>(
+    context: &Context,
+    event: <P::Machine as Machine>::Event,
+    reply: impl Fn(&<P::Machine as Machine>::Command) -> Option<PeerMessage>,
+) -> Option<PeerMessage> {
+    let mut answer = None;
+    for command in step::<P>(context, event) {
+        if answer.is_none() {
+            answer = reply(&command);
+            if answer.is_some() {
+                continue;
+            }
+        }
         P::perform(context, command);
     }
+    P::after(context);
+    answer
+}
+
+fn step<P: Part>(
+    context: &Context,
+    event: <P::Machine as Machine>::Event,
+) -> Vec<<P::Machine as Machine>::Command> {
+    let mut commands = Vec::new();
+    let mut machine = P::machine(&context.shared)
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    machine.step(event, context.shared.clock.now(), &mut commands);
+    commands
 }
 
 /// Performs a store call and hands its reply to the machine that asked for it.
--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -7,6 +7,7 @@
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
 use crate::context::Context;
+use crate::control::{membership, settings};
 
 /// Largest body of an envelope.
 const ENVELOPE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -32,9 +33,16 @@
     ntex::rt::spawn(async move {
         match context.peers.exchange(&address, &envelope).await {
             Ok(answer) => {
-                deliver_all(&context, answer);
+                membership::exchanged(&context, to, true);
+                let further = deliver_all(&context, answer);
+                if !further.is_empty() {
+                    send(&context, to, further);
+                }
+            }
+            Err(e) => {
+                log::debug!("vm: {to} did not answer: {e}");
+                membership::exchanged(&context, to, false);
             }
-            Err(e) => log::debug!("vm: {to} did not answer: {e}"),
         }
     });
 }
@@ -73,11 +81,13 @@
 }
 
 /// Hands a message to its machine. The returned message is sent back in the same exchange.
-fn deliver(_context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
+fn deliver(context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
     match message {
         PeerMessage::Ping => {
             log::trace!("vm: ping from {from}");
             None
         }
+        PeerMessage::Settings(message) => settings::deliver(context, from, message),
+        PeerMessage::Membership(message) => membership::deliver(context, from, message),
     }
 }
--- a/crates/jujubebeam/src/shared.rs
+++ b/crates/jujubebeam/src/shared.rs
@@ -10,7 +10,10 @@
 use jujubebeam_core::{Incarnation, RequestId, SystemClock, TargetId, VmId};
 use jujubebeam_vmlist::VmList;
 
+use crate::control::membership::MembershipState;
+use crate::control::settings::SettingsState;
 use crate::process_config::ProcessConfig;
+use crate::running::{RunningCounter, RunningGuard};
 
 /// State of the process. Every part has its own lock, and no lock is held across an await.
 #[derive(Debug)]
@@ -21,6 +24,11 @@
     pub(crate) incarnation: Incarnation,
     /// Monotonic clock.
     pub(crate) clock: SystemClock,
+    /// Distribution of settings.
+    pub(crate) settings: SettingsState,
+    /// What is known of the other vms.
+    pub(crate) membership: MembershipState,
+    running: RunningCounter,
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     vms: RwLock<Arc<VmList>>,
     loads: RwLock<HashMap<TargetId, LoadReport>>,
@@ -30,9 +38,13 @@
 impl Shared {
     /// Creates the state of a fresh process.
     pub(crate) fn new(config: ProcessConfig) -> Self {
+        let incarnation = new_incarnation();
         Self {
+            settings: SettingsState::new(&config, incarnation),
+            membership: MembershipState::new(&config, incarnation),
+            running: RunningCounter::default(),
             config,
-            incarnation: new_incarnation(),
+            incarnation,
             clock: SystemClock::new(),
             snapshot: RwLock::new(None),
             vms: RwLock::new(Arc::new(VmList::default())),
@@ -75,6 +87,16 @@
         };
     }
 
+    /// Counts a request as running until the guard is dropped. A shutdown waits for it.
+    pub(crate) fn start_request(&self) -> RunningGuard {
+        self.running.start()
+    }
+
+    /// Number of running requests.
+    pub(crate) fn running_requests(&self) -> usize {
+        self.running.count()
+    }
+
     /// Next number for ids that are unique within this run.
     pub(crate) fn next_serial(&self) -> u64 {
         self.next_serial.fetch_add(1, Ordering::Relaxed)
@@ -89,9 +111,7 @@
 
     /// Address of another vm for messages.
     pub(crate) fn peer_address(&self, vm: VmId) -> Option<String> {
-        let vms = self.vms();
-        let listed = vms.vms.iter().find(|v| v.vm == vm)?;
-        Some(listed.peer_address.clone())
+        self.membership.peer_address(vm)
     }
 }
 
