--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -154,6 +154,7 @@
     next_heartbeat: Duration,
     drain: Option<Drain>,
     running: usize,
+    list_read: bool,
     last_view: (Vec<VmId>, Vec<VmId>),
 }
 
@@ -171,6 +172,7 @@
             next_heartbeat: Duration::ZERO,
             drain: None,
             running: 0,
+            list_read: false,
             last_view: Default::default(),
             config,
         }
@@ -211,7 +213,8 @@
             Event::HandedOver => self.on_handed_over(out),
         }
         let view = (self.live(now), self.listed());
-        if view != self.last_view {
+        // Before the first list this vm would believe that it is alone.
+        if self.list_read && view != self.last_view {
             self.last_view = view;
             out.push(Command::ViewChanged);
         }
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -33,6 +33,7 @@
     }
 
     pub(super) fn on_listed(&mut self, records: Vec<Record>, now: Duration) {
+        self.list_read = true;
         for known in self.others.values_mut() {
             known.listed = false;
         }
--- a/crates/core/src/settings/replica.rs
+++ b/crates/core/src/settings/replica.rs
@@ -145,7 +145,9 @@
             rng: SmallRng::seed_from_u64(config.seed),
             set: SettingsSet::default(),
             fresh: Freshness::default(),
-            live: vec![config.vm],
+            // A vm that knows no others yet must not take itself for a watcher, or a restart of
+            // the whole fleet would read the store once for each vm.
+            live: Vec::new(),
             listed: vec![config.vm],
             reader: Reader::default(),
             asks: BTreeMap::new(),
