--- a/crates/jujubebeam/src/lib.rs
+++ b/crates/jujubebeam/src/lib.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod process_config;
 mod recorder;
+mod running;
 mod server;
 mod shared;
 mod trace;
