--- /dev/null
+++ b/crates/core/src/request.rs
@@ -0,0 +1,324 @@
+//! The life of one repeatable request: attempts, resume and the final answer.
+//!
+//! See `docs/design.md`, section 5.6. The caller sees one whole answer even if several targets
+//! generated parts of it, and a refusal says "not run" only if no attempt was handed to a
+//! connection that may have carried a byte.
+
+mod config;
+mod moving;
+mod types;
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+pub use config::RequestConfig;
+use moving::Moving;
+pub use types::{Attempt, Close, FailCause, RequestCommand, RequestEvent, Resume};
+
+use crate::invariant::{self, Invariant};
+use crate::{Machine, TargetId};
+
+#[derive(Clone, Debug)]
+struct Active {
+    attempt: Attempt,
+    target: TargetId,
+    head_accepted: bool,
+    finish: Option<String>,
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    New,
+    Acquiring,
+    AskingBudget,
+    Active(Active),
+    Done,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct RequestMachine {
+    config: RequestConfig,
+    state: State,
+    moving: Option<Moving>,
+    next_attempt: u32,
+    failed_attempts: u32,
+    /// Attempts that may have reached a target.
+    maybe_sent: u32,
+    excluded: SmallVec<[TargetId; 4]>,
+    delivered_tokens: u64,
+    delivered_text: String,
+    refused_as_not_run: bool,
+}
+
+impl RequestMachine {
+    /// Creates a request that waits for [`RequestEvent::Start`].
+    pub fn new(config: RequestConfig) -> Self {
+        Self {
+            config,
+            state: State::New,
+            moving: None,
+            next_attempt: 1,
+            failed_attempts: 0,
+            maybe_sent: 0,
+            excluded: SmallVec::new(),
+            delivered_tokens: 0,
+            delivered_text: String::new(),
+            refused_as_not_run: false,
+        }
+    }
+
+    /// True once the final answer was given.
+    pub fn is_done(&self) -> bool {
+        matches!(self.state, State::Done)
+    }
+
+    /// Text delivered to the caller so far.
+    pub fn delivered_text(&self) -> &str {
+        &self.delivered_text
+    }
+
+    /// Tokens delivered to the caller so far.
+    pub fn delivered_tokens(&self) -> u64 {
+        self.delivered_tokens
+    }
+
+    fn active(&mut self, attempt: Attempt) -> Option<&mut Active> {
+        let drop_crossed = self.config.drop_crossed;
+        match &mut self.state {
+            State::Active(active) if active.attempt == attempt || !drop_crossed => Some(active),
+            _ => None,
+        }
+    }
+
+    fn acquire(&mut self, out: &mut Vec<RequestCommand>) {
+        self.state = State::Acquiring;
+        out.push(RequestCommand::Acquire {
+            excluded: self.excluded.clone(),
+        });
+    }
+
+    fn send(&mut self, target: TargetId, kv: Option<String>, out: &mut Vec<RequestCommand>) {
+        invariant::check(Invariant::NotRunIsTrue, !self.refused_as_not_run, || {
+            format!("a request that was refused as not run is sent to target {target}")
+        });
+        let attempt = Attempt(self.next_attempt);
+        self.next_attempt += 1;
+        self.maybe_sent += 1;
+        self.state = State::Active(Active {
+            attempt,
+            target,
+            head_accepted: false,
+            finish: None,
+        });
+        let resume = (self.delivered_tokens > 0 && self.config.resume).then(|| Resume {
+            tokens: self.delivered_tokens,
+            text: self.delivered_text.clone(),
+            kv_handle: kv,
+        });
+        out.push(RequestCommand::Send {
+            attempt,
+            target,
+            resume,
+        });
+    }
+
+    fn granted(&mut self, target: TargetId, out: &mut Vec<RequestCommand>) {
+        match self.state {
+            State::Acquiring => self.send(target, None, out),
+            State::Active(_) => self.move_granted(target, out),
+            _ => out.push(RequestCommand::Release { target }),
+        }
+    }
+
+    fn refused(&mut self, out: &mut Vec<RequestCommand>) {
+        match self.state {
+            State::Acquiring => self.fail(FailCause::Refused, out),
+            State::Active(_) => self.moving = None,
+            _ => {}
+        }
+    }
+
+    fn head(&mut self, attempt: Attempt, echoed: Option<Attempt>, out: &mut Vec<RequestCommand>) {
+        let crossed = self.config.drop_crossed && echoed != Some(attempt);
+        let Some(active) = self.active(attempt) else {
+            return;
+        };
+        if !crossed {
+            active.head_accepted = true;
+            return;
+        }
+        let target = active.target;
+        out.push(RequestCommand::Cancel { attempt, target });
+        self.attempt_failed(target, out);
+    }
+
+    fn text(&mut self, attempt: Attempt, text: String, out: &mut Vec<RequestCommand>) {
+        let Some(active) = self.active(attempt) else {
+            return;
+        };
+        if !active.head_accepted || active.finish.is_some() || text.is_empty() {
+            return;
+        }
+        let current = active.attempt;
+        invariant::check(
+            Invariant::WholeAnswerToItsCaller,
+            current == attempt,
+            || format!("text of attempt {attempt:?} is delivered during attempt {current:?}"),
+        );
+        self.delivered_tokens += 1;
+        self.delivered_text.push_str(&text);
+        out.push(RequestCommand::Deliver { text });
+    }
+
+    fn finish(&mut self, attempt: Attempt, reason: String) {
+        if let Some(active) = self.active(attempt)
+            && active.head_accepted
+        {
+            active.finish = Some(reason);
+        }
+    }
+
+    fn done_mark(&mut self, attempt: Attempt, out: &mut Vec<RequestCommand>) {
+        let Some(active) = self.active(attempt) else {
+            return;
+        };
+        match active.finish.take() {
+            Some(reason) => self.complete(reason, true, out),
+            None => self.closed(attempt, Close::Cut, out),
+        }
+    }
+
+    fn complete(&mut self, reason: String, done_mark: bool, out: &mut Vec<RequestCommand>) {
+        invariant::check(
+            Invariant::WholeAnswerToItsCaller,
+            done_mark && !reason.is_empty(),
+            || "an answer without finish reason or end mark is completed".into(),
+        );
+        self.end_move(out);
+        self.state = State::Done;
+        out.push(RequestCommand::Complete {
+            reason,
+            tokens: self.delivered_tokens,
+        });
+    }
+
+    fn closed(&mut self, attempt: Attempt, close: Close, out: &mut Vec<RequestCommand>) {
+        let require_whole = self.config.require_whole;
+        let Some(active) = self.active(attempt) else {
+            return;
+        };
+        let target = active.target;
+        if !require_whole && close == Close::Cut {
+            let reason = active.finish.take().unwrap_or_default();
+            return self.complete(reason, false, out);
+        }
+        match close {
+            Close::NotSent => {
+                self.maybe_sent -= 1;
+                self.next_try(target, false, out);
+            }
+            // An engine ends the stream of an attempt that it exports; the export's answer decides.
+            Close::Cut if self.is_exporting() => {}
+            Close::Cut => {
+                out.push(RequestCommand::Crashed { target });
+                self.attempt_failed(target, out);
+            }
+            Close::Status(code) if (400..500).contains(&code) && code != 429 => {
+                self.fail(FailCause::Rejected(code), out);
+            }
+            Close::Status(_) => self.attempt_failed(target, out),
+        }
+    }
+
+    fn attempt_failed(&mut self, target: TargetId, out: &mut Vec<RequestCommand>) {
+        self.next_try(target, true, out);
+    }
+
+    fn next_try(&mut self, failed: TargetId, spends: bool, out: &mut Vec<RequestCommand>) {
+        self.end_move(out);
+        self.failed_attempts += 1;
+        if !self.excluded.contains(&failed) {
+            self.excluded.push(failed);
+        }
+        if self.failed_attempts >= self.config.max_attempts {
+            return self.fail(FailCause::AttemptsUsed, out);
+        }
+        if !spends {
+            return self.acquire(out);
+        }
+        self.state = State::AskingBudget;
+        out.push(RequestCommand::AskBudget);
+    }
+
+    fn budget(&mut self, granted: bool, out: &mut Vec<RequestCommand>) {
+        if !matches!(self.state, State::AskingBudget) {
+            return;
+        }
+        if granted {
+            return self.acquire(out);
+        }
+        self.fail(FailCause::BudgetUsed, out);
+    }
+
+    fn fail(&mut self, cause: FailCause, out: &mut Vec<RequestCommand>) {
+        self.end_move(out);
+        self.state = State::Done;
+        let not_run = self.maybe_sent == 0;
+        self.refused_as_not_run = not_run;
+        out.push(RequestCommand::Fail {
+            cause,
+            not_run,
+            retry_after_s: self.config.retry_after_s,
+        });
+    }
+
+    fn cancel_active(&mut self, out: &mut Vec<RequestCommand>) {
+        if let State::Active(active) = &self.state {
+            out.push(RequestCommand::Cancel {
+                attempt: active.attempt,
+                target: active.target,
+            });
+        }
+    }
+
+    fn caller_gone(&mut self, out: &mut Vec<RequestCommand>) {
+        self.cancel_active(out);
+        self.end_move(out);
+        self.state = State::Done;
+    }
+
+    fn expired(&mut self, out: &mut Vec<RequestCommand>) {
+        if self.is_done() {
+            return;
+        }
+        self.cancel_active(out);
+        self.fail(FailCause::Expired, out);
+    }
+}
+
+impl Machine for RequestMachine {
+    type Event = RequestEvent;
+    type Command = RequestCommand;
+
+    fn step(&mut self, event: RequestEvent, _now: Duration, out: &mut Vec<RequestCommand>) {
+        match event {
+            RequestEvent::Start if matches!(self.state, State::New) => self.acquire(out),
+            RequestEvent::Start => {}
+            RequestEvent::Granted { target } => self.granted(target, out),
+            RequestEvent::Refused => self.refused(out),
+            RequestEvent::Head { attempt, echoed } => self.head(attempt, echoed, out),
+            RequestEvent::Text { attempt, text } => self.text(attempt, text, out),
+            RequestEvent::Finish { attempt, reason } => self.finish(attempt, reason),
+            RequestEvent::DoneMark { attempt } => self.done_mark(attempt, out),
+            RequestEvent::Closed { attempt, close } => self.closed(attempt, close, out),
+            RequestEvent::Budget { granted } => self.budget(granted, out),
+            RequestEvent::Move => self.start_move(out),
+            RequestEvent::Exported { attempt, handle } => self.exported(attempt, handle, out),
+            RequestEvent::Imported { done } => self.imported(done, out),
+            RequestEvent::CallerGone => self.caller_gone(out),
+            RequestEvent::Expired => self.expired(out),
+        }
+    }
+}
