Run requests through the request and once machines

Inference requests go through RequestMachine: engines are always asked for a stream, a cut stream resumes at another engine, crossed answers are dropped, the attempt is cancelled when the caller leaves. Requests that may run at most once go through OnceLedger, forwarded to the vm of their ticket where needed.

Cause: a crash of an engine cut the caller's answer, and a repeated checkout ran again.

Ruled out: running at-most-once requests inside the handler, because a caller that disconnects would drop the task that records the outcome.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -4,6 +4,7 @@
 //! generated parts of it, and a refusal says "not run" only if no attempt was handed to a
 //! connection that may have carried a byte.
 
+mod budget;
 mod config;
 mod moving;
 mod types;
@@ -12,6 +13,7 @@
 
 use smallvec::SmallVec;
 
+pub use budget::{RetryBudget, RetryBudgetConfig};
 pub use config::RequestConfig;
 use moving::Moving;
 pub use types::{Attempt, Close, FailCause, RequestCommand, RequestEvent, Resume};
--- /dev/null
+++ b/crates/core/src/request/budget.rs
@@ -0,0 +1,64 @@
+//! Retry budget of one route.
+
+use std::time::Duration;
+
+/// Settings of [`RetryBudget`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBudgetConfig {
+    /// Retries earned by each success. A tenth keeps retries from amplifying an overload.
+    pub per_success: f64,
+    /// Retries earned each second without successes, so that a quiet route can retry at all.
+    pub per_second: f64,
+    /// Most retries that can be saved up.
+    pub saved: f64,
+}
+
+impl Default for RetryBudgetConfig {
+    fn default() -> Self {
+        Self {
+            per_success: 0.1,
+            per_second: 1.0,
+            saved: 10.0,
+        }
+    }
+}
+
+/// Retries that a route may make.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    config: RetryBudgetConfig,
+    retries: f64,
+    counted_until: Duration,
+}
+
+impl RetryBudget {
+    /// Creates a full budget.
+    pub fn new(config: RetryBudgetConfig, now: Duration) -> Self {
+        Self {
+            config,
+            retries: config.saved,
+            counted_until: now,
+        }
+    }
+
+    /// Counts a success.
+    pub fn succeeded(&mut self) {
+        self.earn(self.config.per_success);
+    }
+
+    /// Takes one retry. Returns whether the budget allows it.
+    pub fn take(&mut self, now: Duration) -> bool {
+        let passed = now.saturating_sub(self.counted_until);
+        self.counted_until = now;
+        self.earn(passed.as_secs_f64() * self.config.per_second);
+        if self.retries < 1.0 {
+            return false;
+        }
+        self.retries -= 1.0;
+        true
+    }
+
+    fn earn(&mut self, retries: f64) {
+        self.retries = (self.retries + retries).min(self.config.saved);
+    }
+}
--- a/crates/jujubebeam/src/caller/auth.rs
+++ b/crates/jujubebeam/src/caller/auth.rs
@@ -32,7 +32,7 @@
     Ok(Some(workspace))
 }
 
-fn presented_key(headers: &HeaderMap) -> Option<&str> {
+pub(crate) fn presented_key(headers: &HeaderMap) -> Option<&str> {
     if let Some(value) = headers.get(header::AUTHORIZATION) {
         let text = value.to_str().ok()?;
         return text.strip_prefix("Bearer ").map(str::trim);
@@ -40,7 +40,10 @@
     headers.get(headers::API_KEY)?.to_str().ok()
 }
 
-fn workspace_for_key(snapshot: &Snapshot, hash: KeyHash) -> Result<&WorkspaceSpec, CallerError> {
+pub(crate) fn workspace_for_key(
+    snapshot: &Snapshot,
+    hash: KeyHash,
+) -> Result<&WorkspaceSpec, CallerError> {
     let unknown = || {
         CallerError::not_run(
             ErrorKind::UnknownKey,
--- a/crates/jujubebeam/src/caller/chat.rs
+++ b/crates/jujubebeam/src/caller/chat.rs
@@ -1,27 +1,60 @@
 //! Inference requests.
 
+mod attempts;
+mod connection;
+mod driver;
+mod output;
+mod sse;
+
 use std::time::Duration;
 
-use futures_util::{StreamExt, stream};
 use jujubebeam_caller::{CallerError, ChatRequest, ErrorKind, headers};
-use jujubebeam_core::RequestId;
-use jujubebeam_engine::{EngineClient, EngineClientConfig, EngineRequest};
-use jujubebeam_http::CallError;
-use ntex::client::ClientResponse;
-use ntex::http::header;
+use jujubebeam_core::quarantine::Fingerprint;
+use jujubebeam_core::settings::{RouteSpec, Snapshot};
+use jujubebeam_core::{Clock, RequestId, RouteId, WorkspaceId};
+use ntex::http::HeaderMap;
+use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse};
-
-use smallvec::SmallVec;
+use tokio::sync::mpsc;
 
 use super::respond::error_response;
-use super::{ContextState, auth, body};
+use super::{ContextState, auth, body, refusals, service};
 use crate::context::Context;
-use crate::dispatch::{self, Ask};
 
 /// Largest body that is read before the route is known.
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 /// Average length of a token, for estimates before the engine has counted.
 const BYTES_PER_TOKEN: usize = 4;
+/// Parts of an answer that wait for a slow caller before the engine's stream is held up.
+const OUTPUT_PARTS: usize = 32;
+
+/// One inference request.
+struct Job {
+    request: RequestId,
+    path: String,
+    route: RouteId,
+    workspace: Option<WorkspaceId>,
+    chat: ChatRequest,
+    streamed: bool,
+    /// Headers of the caller, for checking its key again.
+    headers: HeaderMap,
+    fingerprint: Fingerprint,
+    prompt_tokens: u64,
+    /// Monotonic time by which the first token must be there.
+    deadline: Duration,
+}
+
+impl Job {
+    fn traceparent(&self) -> Option<&str> {
+        self.headers.get(headers::TRACEPARENT)?.to_str().ok()
+    }
+
+    fn route<'a>(&self, snapshot: &'a Snapshot) -> Result<&'a RouteSpec, CallerError> {
+        snapshot
+            .route_for_model(&self.path, &self.chat.model)
+            .ok_or_else(|| unknown_model(&self.chat.model))
+    }
+}
 
 /// Handles `POST /v1/chat/completions`.
 pub(crate) async fn complete(
@@ -29,10 +62,10 @@
     request: HttpRequest,
     payload: web::types::Payload,
 ) -> HttpResponse {
-    let request_id = context.shared.new_request_id();
-    match run(&context, &request, payload, request_id).await {
+    let id = context.shared.new_request_id();
+    match run(&context, &request, payload, id).await {
         Ok(response) => response,
-        Err(error) => error_response(error.request_id(format!("{:x}", request_id.0))),
+        Err(error) => error_response(error.request_id(refusals::id_text(id))),
     }
 }
 
@@ -40,13 +73,32 @@
     context: &Context,
     request: &HttpRequest,
     payload: web::types::Payload,
-    request_id: RequestId,
+    id: RequestId,
 ) -> Result<HttpResponse, CallerError> {
-    let snapshot = context.shared.snapshot().ok_or_else(settings_missing)?;
+    let snapshot = refusals::settings(context)?;
     let bytes = body::read(payload, BODY_LIMIT_BYTES).await?;
-    let chat: ChatRequest = serde_json::from_slice(&bytes).map_err(|e| {
-        CallerError::not_run(
-            ErrorKind::BadRequest,
+    let job = job(context, &snapshot, request, &bytes, id)?;
+    if let Some(error) =
+        refusals::crashes_targets(crate::crashes::verdict(context, job.fingerprint))
+    {
+        return Err(error);
+    }
+    let (sender, receiver) = mpsc::channel(OUTPUT_PARTS);
+    let context = context.clone();
+    // The attempt is cancelled at the engine when the receiver is dropped with the connection.
+    ntex::rt::spawn(async move { driver::Driver::new(context, job, sender).run().await });
+    output::respond(receiver, id).await
+}
+
+fn job(
+    context: &Context,
+    snapshot: &Snapshot,
+    request: &HttpRequest,
+    bytes: &Bytes,
+    id: RequestId,
+) -> Result<Job, CallerError> {
+    let chat: ChatRequest = serde_json::from_slice(bytes).map_err(|e| {
+        bad_request(
             format!("the body is not a chat request: {e}"),
             "send JSON with `model` and `messages`",
         )
@@ -54,7 +106,15 @@
     let route = snapshot
         .route_for_model(request.path(), &chat.model)
         .ok_or_else(|| unknown_model(&chat.model))?;
-    let workspace = auth::authorize(&snapshot, route, request.headers())?;
+    let limit = route.settings.body_limit_bytes;
+    if bytes.len() > limit {
+        return Err(CallerError::not_run(
+            ErrorKind::BodyTooLarge,
+            format!("the body is larger than {limit} bytes"),
+            "send a smaller body, or ask the operator to raise `body_limit_bytes`",
+        ));
+    }
+    let workspace = auth::authorize(snapshot, route, request.headers())?;
     if workspace.is_some_and(|w| !w.may_use_model(&chat.model)) {
         return Err(CallerError::not_run(
             ErrorKind::NotAllowed,
@@ -62,74 +122,43 @@
             "ask the operator of the workspace to add the model",
         ));
     }
+    check_form(&chat)?;
     let prompt_bytes: usize = chat.messages.iter().map(|m| m.content.len()).sum();
-    let ask = Ask {
-        request: request_id,
-        route,
-        workspace,
-        model: &chat.model,
-        prompt_tokens: (prompt_bytes / BYTES_PER_TOKEN) as u64,
-        max_tokens: chat.max_tokens,
-        prefix_hashes: &[],
-        repeatable: true,
-        deadline: Duration::from_millis(route.settings.longest_wait_ms),
-        excluded: SmallVec::new(),
-        suspect: false,
-    };
-    let permit = dispatch::acquire(context, &snapshot, &ask).await?;
-    let engine = EngineClient::new(
-        context.targets.clone(),
-        &permit.target.address,
-        EngineClientConfig::default(),
-    );
-    let streamed = chat.stream;
-    let engine_request = EngineRequest {
+    let wait = service::deadline(request.headers(), route.settings.longest_wait_ms)?;
+    Ok(Job {
+        request: id,
+        path: request.path().to_owned(),
+        route: route.id,
+        workspace: workspace.map(|w| w.id),
+        streamed: chat.stream,
         chat,
-        attempt_id: format!("{:x}-1", request_id.0),
-        priority: workspace.map_or(0, |w| w.priority as u8),
-        resume: None,
-    };
-    let traceparent = request
-        .headers()
-        .get(headers::TRACEPARENT)
-        .and_then(|v| v.to_str().ok());
-    let answer = engine
-        .chat(&engine_request, traceparent)
-        .await
-        .map_err(|e| target_failed(&e))?;
-    relay(answer, &format!("{:x}", request_id.0), streamed).await
+        headers: request.headers().clone(),
+        fingerprint: Fingerprint::new(route.id, bytes),
+        prompt_tokens: (prompt_bytes / BYTES_PER_TOKEN) as u64,
+        deadline: context.shared.clock.now() + wait,
+    })
 }
 
-async fn relay(
-    answer: ClientResponse,
-    request_id: &str,
-    streamed: bool,
-) -> Result<HttpResponse, CallerError> {
-    let mut builder = HttpResponse::build(answer.status());
-    builder.header(headers::REQUEST_ID, request_id);
-    if let Some(kind) = answer.headers().get(header::CONTENT_TYPE) {
-        builder.header(header::CONTENT_TYPE, kind.clone());
+/// Refuses forms of a request whose answer could not be resumed or put together.
+fn check_form(chat: &ChatRequest) -> Result<(), CallerError> {
+    let several = chat.rest.get("n").and_then(serde_json::Value::as_u64);
+    if several.is_some_and(|n| n > 1) {
+        return Err(bad_request(
+            "`n` is greater than 1".into(),
+            "send one request for each answer",
+        ));
     }
-    if streamed {
-        let chunks = stream::unfold(answer, async |mut answer| {
-            answer.next().await.map(|chunk| (chunk, answer))
-        });
-        return Ok(builder.streaming(Box::pin(chunks)));
+    if !chat.stream && chat.rest.contains_key("tools") {
+        return Err(bad_request(
+            "`tools` are supported in streamed answers only".into(),
+            "set `stream` to true",
+        ));
     }
-    let body = answer
-        .body()
-        .await
-        .map_err(|e| target_failed(&CallError::NoAnswer(e.to_string())))?;
-    Ok(builder.body(body))
+    Ok(())
 }
 
-fn settings_missing() -> CallerError {
-    CallerError::not_run(
-        ErrorKind::SettingsStale,
-        "this vm has no settings yet",
-        "use another address",
-    )
-    .retry_after_s(1)
+fn bad_request(message: String, remedy: &str) -> CallerError {
+    CallerError::not_run(ErrorKind::BadRequest, message, remedy)
 }
 
 fn unknown_model(model: &str) -> CallerError {
@@ -139,12 +168,3 @@
         "use a model from `GET /v1/models`",
     )
 }
-
-fn target_failed(error: &CallError) -> CallerError {
-    CallerError::may_have_run(
-        ErrorKind::TargetFailed,
-        format!("the engine failed: {error}"),
-        "send the request again",
-    )
-    .retry_after_s(1)
-}
--- /dev/null
+++ b/crates/jujubebeam/src/caller/chat/driver.rs
@@ -0,0 +1,301 @@
+//! Carries an inference request through its attempts to its final answer.
+
+use std::collections::VecDeque;
+
+use jujubebeam_caller::{CallerError, ChatAnswer, ChatChoice, ChatMessage, ErrorKind, Usage};
+use jujubebeam_core::quarantine::QuarantineEvent;
+use jujubebeam_core::request::{
+    Close, RequestCommand, RequestConfig, RequestEvent, RequestMachine,
+};
+use jujubebeam_core::targets::TargetState;
+use jujubebeam_core::{Clock, Machine};
+use ntex::time::{Millis, sleep};
+use tokio::sync::mpsc::Sender;
+
+use super::Job;
+use super::connection::Connection;
+use super::output::{self, Output};
+use super::sse::{Chunk, EngineEvent};
+use crate::caller::{auth, refusals};
+use crate::context::Context;
+use crate::crashes;
+use crate::dispatch::Permit;
+use crate::recorder::{self, Used};
+
+/// Time between two checks of the caller's key, the deadline and the target's state.
+pub(super) const CHECK_INTERVAL: Millis = Millis(500);
+
+/// One request while it runs.
+pub(super) struct Driver {
+    pub(super) context: Context,
+    pub(super) job: Job,
+    pub(super) output: Sender<Output>,
+    pub(super) machine: RequestMachine,
+    pub(super) commands: VecDeque<RequestCommand>,
+    pub(super) permit: Option<Permit>,
+    /// Target to which the stream moves.
+    pub(super) next_permit: Option<Permit>,
+    pub(super) connection: Option<Connection>,
+    pub(super) refusal: Option<CallerError>,
+    /// Chunk whose text is being delivered.
+    chunk: Option<Chunk>,
+    /// Whether something other than text was delivered, which no other engine can continue.
+    delivered_other: bool,
+    usage: Option<Usage>,
+}
+
+impl Driver {
+    pub(super) fn new(context: Context, job: Job, output: Sender<Output>) -> Self {
+        Self {
+            context,
+            job,
+            output,
+            machine: RequestMachine::new(RequestConfig::default()),
+            commands: VecDeque::new(),
+            permit: None,
+            next_permit: None,
+            connection: None,
+            refusal: None,
+            chunk: None,
+            delivered_other: false,
+            usage: None,
+        }
+    }
+
+    /// Runs until the final answer was given or the caller left.
+    pub(super) async fn run(mut self) {
+        self.feed(RequestEvent::Start);
+        loop {
+            if let Some(command) = self.commands.pop_front() {
+                self.perform(command).await;
+            } else if self.machine.is_done() {
+                return;
+            } else {
+                self.wait().await;
+            }
+        }
+    }
+
+    pub(super) fn feed(&mut self, event: RequestEvent) {
+        let mut out = Vec::new();
+        let now = self.context.shared.clock.now();
+        self.machine.step(event, now, &mut out);
+        self.commands.extend(out);
+    }
+
+    /// Waits for the engine, the caller or the next check.
+    async fn wait(&mut self) {
+        let Some(connection) = &mut self.connection else {
+            // The machine waits for a stream that is gone, for example after a failed export.
+            return self.feed(RequestEvent::Expired);
+        };
+        let attempt = connection.attempt;
+        tokio::select! {
+            biased;
+            () = self.output.closed() => self.caller_gone().await,
+            event = connection.next() => match event {
+                Some(EngineEvent::Chunk(chunk)) => self.chunk(chunk).await,
+                Some(EngineEvent::Done) => self.feed(RequestEvent::DoneMark { attempt }),
+                Some(EngineEvent::Broken) | None => {
+                    self.connection = None;
+                    let close = Close::Cut;
+                    self.feed(RequestEvent::Closed { attempt, close });
+                }
+            },
+            () = sleep(CHECK_INTERVAL) => self.check(),
+        }
+    }
+
+    async fn chunk(&mut self, chunk: Chunk) {
+        let Some(attempt) = self.connection.as_ref().map(|c| c.attempt) else {
+            return;
+        };
+        if chunk.usage.is_some() {
+            self.usage = chunk.usage;
+        }
+        if chunk.has_other && self.job.streamed {
+            self.delivered_other = true;
+            let events = output::chunk_event(chunk.value.clone(), self.job.request);
+            self.emit(Output::Events(events)).await;
+        }
+        let (text, finish) = (chunk.text.clone(), chunk.finish.clone());
+        self.chunk = Some(chunk);
+        self.feed(RequestEvent::Text { attempt, text });
+        if let Some(reason) = finish {
+            self.feed(RequestEvent::Finish { attempt, reason });
+        }
+    }
+
+    /// Checks the caller's key, the deadline of the first token and the target's state.
+    pub(super) fn check(&mut self) {
+        let Some(snapshot) = self.context.shared.snapshot() else {
+            return;
+        };
+        let route = self.job.route(&snapshot);
+        let checked = route.and_then(|r| auth::authorize(&snapshot, r, &self.job.headers));
+        if let Err(error) = checked {
+            self.refusal = Some(error);
+            return self.feed(RequestEvent::Expired);
+        }
+        let waiting = self.machine.delivered_tokens() == 0 && !self.delivered_other;
+        if waiting && self.context.shared.clock.now() >= self.job.deadline {
+            return self.feed(RequestEvent::Expired);
+        }
+        if self.connection.is_some() && self.target_leaves() && !self.delivered_other {
+            self.feed(RequestEvent::Move);
+        }
+    }
+
+    fn target_leaves(&self) -> bool {
+        let load = |p: &Permit| self.context.shared.load(p.target.id);
+        let state = self.permit.as_ref().and_then(load).map(|l| l.state);
+        matches!(state, Some(TargetState::Draining | TargetState::Leaving))
+    }
+
+    pub(super) async fn emit(&mut self, part: Output) {
+        if self.output.send(part).await.is_err() {
+            self.caller_gone().await;
+        }
+    }
+
+    /// Tokens that were delivered before the caller left are counted.
+    pub(super) async fn caller_gone(&mut self) {
+        if self.machine.is_done() {
+            return;
+        }
+        self.feed(RequestEvent::CallerGone);
+        let output_tokens = self.machine.delivered_tokens();
+        if output_tokens == 0 {
+            return;
+        }
+        self.record(Used {
+            output_tokens,
+            ..Used::default()
+        })
+        .await;
+    }
+
+    async fn record(&self, used: Used) {
+        if let Some(workspace) = self.job.workspace {
+            recorder::record(&self.context, workspace, used).await;
+        }
+    }
+
+    async fn perform(&mut self, command: RequestCommand) {
+        match command {
+            RequestCommand::Acquire { excluded } => self.acquire(excluded).await,
+            RequestCommand::AskBudget => {
+                let granted =
+                    !self.delivered_other && crashes::take_retry(&self.context, self.job.route);
+                self.feed(RequestEvent::Budget { granted });
+            }
+            RequestCommand::Send {
+                attempt, resume, ..
+            } => self.send(attempt, resume).await,
+            RequestCommand::Deliver { text } => self.deliver(&text).await,
+            RequestCommand::Complete { reason, tokens } => self.complete(reason, tokens).await,
+            RequestCommand::Fail {
+                cause,
+                not_run,
+                retry_after_s,
+            } => {
+                let refusal = self.refusal.take();
+                let error = refusals::given_up(cause, not_run, retry_after_s, refusal);
+                self.emit(Output::Error(error)).await;
+            }
+            RequestCommand::Cancel { attempt, .. } => self.cancel(attempt),
+            RequestCommand::Crashed { target } => {
+                let fingerprint = self.job.fingerprint;
+                let event = QuarantineEvent::Crashed {
+                    fingerprint,
+                    target,
+                };
+                crashes::feed(&self.context, fingerprint, event);
+            }
+            RequestCommand::Export { attempt, .. } => self.export(attempt).await,
+            RequestCommand::Import { handle, .. } => self.import(handle).await,
+            RequestCommand::Release { .. } => self.next_permit = None,
+        }
+    }
+
+    async fn deliver(&mut self, text: &str) {
+        if let Some(permit) = &mut self.permit {
+            if self.machine.delivered_tokens() == 1 {
+                permit.first_token();
+            }
+            permit.generated(1);
+        }
+        let Some(chunk) = self.chunk.take().filter(|c| c.text == text) else {
+            return;
+        };
+        if self.job.streamed && !chunk.has_other {
+            let events = output::chunk_event(chunk.value, self.job.request);
+            self.emit(Output::Events(events)).await;
+        }
+    }
+
+    async fn complete(&mut self, reason: String, tokens: u64) {
+        self.connection = None;
+        crashes::succeeded(&self.context, self.job.route);
+        let fingerprint = self.job.fingerprint;
+        let event = QuarantineEvent::Whole { fingerprint };
+        crashes::feed(&self.context, fingerprint, event);
+        let usage = self.final_usage(tokens);
+        if let Some(permit) = self.permit.take() {
+            permit.finish(usage.prompt_tokens, usage.completion_tokens);
+        }
+        self.record(Used {
+            requests: 1,
+            prompt_tokens: usage.prompt_tokens,
+            output_tokens: usage.completion_tokens,
+        })
+        .await;
+        let (id, model) = (self.job.request, &self.job.chat.model);
+        let part = match self.job.streamed {
+            true => Output::Events(output::last_events(id, model, reason, usage)),
+            false => Output::Whole(Box::new(self.whole(reason, usage))),
+        };
+        self.emit(part).await;
+    }
+
+    /// An engine that resumed may have counted its own part only.
+    fn final_usage(&self, tokens: u64) -> Usage {
+        let reported = self.usage.unwrap_or_default();
+        let prompt_tokens = match self.usage {
+            Some(usage) => usage.prompt_tokens,
+            None => self.job.prompt_tokens,
+        };
+        let completion_tokens = reported.completion_tokens.max(tokens);
+        Usage {
+            prompt_tokens,
+            completion_tokens,
+            total_tokens: prompt_tokens + completion_tokens,
+        }
+    }
+
+    fn whole(&self, reason: String, usage: Usage) -> ChatAnswer {
+        ChatAnswer {
+            id: output::answer_id(self.job.request),
+            object: "chat.completion".into(),
+            model: self.job.chat.model.clone(),
+            choices: vec![ChatChoice {
+                index: 0,
+                message: ChatMessage {
+                    role: "assistant".into(),
+                    content: self.machine.delivered_text().to_owned(),
+                },
+                finish_reason: reason,
+            }],
+            usage,
+        }
+    }
+
+    /// Error for a workspace that no longer exists.
+    pub(super) fn workspace_gone() -> CallerError {
+        CallerError::not_run(
+            ErrorKind::UnknownKey,
+            "the workspace of the key no longer exists",
+            "ask the operator for a new key",
+        )
+    }
+}
--- a/crates/jujubebeam/src/caller/service.rs
+++ b/crates/jujubebeam/src/caller/service.rs
@@ -1,20 +1,79 @@
 //! Requests to plain services.
 
+mod call;
+mod forward;
+mod headers;
+mod once;
+mod repeatable;
+
 use std::time::Duration;
 
-use jujubebeam_caller::{CallerError, ErrorKind, headers};
-use jujubebeam_core::RequestId;
+use jujubebeam_caller::{CallerError, ErrorKind, headers as names};
+use jujubebeam_core::quarantine::Fingerprint;
 use jujubebeam_core::settings::document::TargetKind;
-use jujubebeam_service::{ServiceClient, ServiceClientConfig};
-use ntex::http::{HeaderMap, header};
+use jujubebeam_core::settings::{RouteSpec, Snapshot};
+use jujubebeam_core::{Clock, RequestId, RouteId, WorkspaceId};
+use ntex::http::{HeaderMap, Method, StatusCode, header};
+use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse};
 
-use smallvec::SmallVec;
+pub(crate) use forward::{outcome_of_peer, run_for_peer};
+pub(crate) use once::{Place, outcome_here, place};
 
 use super::respond::error_response;
-use super::{ContextState, auth, body};
+use super::{ContextState, auth, body, refusals};
 use crate::context::Context;
-use crate::dispatch::{self, Ask};
+
+/// One request to a plain service.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    request: RequestId,
+    route: RouteId,
+    workspace: Option<WorkspaceId>,
+    method: Method,
+    path_and_query: String,
+    /// Headers that the target may see.
+    headers: HeaderMap,
+    body: Bytes,
+    /// Monotonic time at which the request is given up.
+    deadline: Duration,
+}
+
+impl Job {
+    fn fingerprint(&self) -> Fingerprint {
+        let mut bytes = self.path_and_query.clone().into_bytes();
+        bytes.push(0);
+        bytes.extend_from_slice(&self.body);
+        Fingerprint::new(self.route, &bytes)
+    }
+
+    fn remaining(&self, context: &Context) -> Duration {
+        self.deadline.saturating_sub(context.shared.clock.now())
+    }
+
+    fn route<'a>(&self, snapshot: &'a Snapshot) -> Option<&'a RouteSpec> {
+        snapshot.routes.iter().find(|r| r.id == self.route)
+    }
+}
+
+/// Whole answer of a service, or one that was kept.
+#[derive(Clone, Debug)]
+pub(super) struct Answer {
+    status: StatusCode,
+    content_type: Option<String>,
+    body: Bytes,
+}
+
+impl Answer {
+    fn into_response(self, request: RequestId) -> HttpResponse {
+        let mut builder = HttpResponse::build(self.status);
+        builder.header(names::REQUEST_ID, refusals::id_text(request));
+        if let Some(kind) = self.content_type {
+            builder.header(header::CONTENT_TYPE, kind);
+        }
+        builder.body(self.body)
+    }
+}
 
 /// Handles all paths that are not part of the system's own interface.
 pub(crate) async fn forward(
@@ -22,10 +81,10 @@
     request: HttpRequest,
     payload: web::types::Payload,
 ) -> HttpResponse {
-    let request_id = context.shared.new_request_id();
-    match run(&context, &request, payload, request_id).await {
+    let id = context.shared.new_request_id();
+    match run(&context, &request, payload, id).await {
         Ok(response) => response,
-        Err(error) => error_response(error.request_id(format!("{:x}", request_id.0))),
+        Err(error) => error_response(error.request_id(refusals::id_text(id))),
     }
 }
 
@@ -33,105 +92,82 @@
     context: &Context,
     request: &HttpRequest,
     payload: web::types::Payload,
-    request_id: RequestId,
+    id: RequestId,
 ) -> Result<HttpResponse, CallerError> {
-    let snapshot = context.shared.snapshot().ok_or_else(|| {
-        CallerError::not_run(
-            ErrorKind::SettingsStale,
-            "this vm has no settings yet",
-            "use another address",
-        )
-        .retry_after_s(1)
-    })?;
+    let snapshot = refusals::settings(context)?;
     let route = snapshot
         .route_for_path(request.path())
         .filter(|r| r.settings.kind == TargetKind::Service)
-        .ok_or_else(|| {
-            CallerError::not_run(
-                ErrorKind::UnknownRoute,
-                format!("no route has path {:?}", request.path()),
-                "check the path",
-            )
-        })?;
-    let workspace = auth::authorize(&snapshot, route, request.headers())?;
+        .ok_or_else(|| unknown_route(request.path()))?;
+    let workspace = auth::authorize(&snapshot, route, request.headers())?.map(|w| w.id);
     let method = request.method().clone();
-    if !route.is_repeatable(method.as_str())
-        && !request.headers().contains_key(headers::IDEMPOTENCY_KEY)
-    {
+    let key = idempotency_key(request.headers())?;
+    let repeatable = route.is_repeatable(method.as_str());
+    if !repeatable && key.is_none() {
         return Err(CallerError::not_run(
             ErrorKind::IdempotencyKeyMissing,
             format!("{method} on this route may run at most once"),
-            "send an `Idempotency-Key` header",
+            "send an `Idempotency-Key` header; `POST /v1/tickets` gives one",
         ));
     }
-    let bytes = body::read(payload, route.settings.body_limit_bytes).await?;
-    let ask = Ask {
-        request: request_id,
-        route,
+    let body = body::read(payload, route.settings.body_limit_bytes).await?;
+    let wait = deadline(request.headers(), route.settings.longest_wait_ms)?;
+    let job = Job {
+        request: id,
+        route: route.id,
         workspace,
-        model: "",
-        prompt_tokens: 0,
-        max_tokens: None,
-        prefix_hashes: &[],
-        repeatable: route.is_repeatable(method.as_str()),
-        deadline: Duration::from_millis(route.settings.longest_wait_ms),
-        excluded: SmallVec::new(),
-        suspect: false,
+        method,
+        path_and_query: request
+            .uri()
+            .path_and_query()
+            .map_or("/", |p| p.as_str())
+            .to_owned(),
+        headers: headers::for_target(request.headers()),
+        body,
+        deadline: context.shared.clock.now() + wait,
     };
-    let permit = dispatch::acquire(context, &snapshot, &ask).await?;
-    let service = ServiceClient::new(
-        if ask.repeatable {
-            context.targets.clone()
-        } else {
-            context.fresh.clone()
-        },
-        &permit.target.address,
-        ServiceClientConfig::default(),
-    );
-    let path = request.uri().path_and_query().map_or("/", |p| p.as_str());
-    let answer = service
-        .forward(method, path, &forwarded_headers(request.headers()), bytes)
-        .await
-        .map_err(|e| {
-            CallerError::may_have_run(
-                ErrorKind::TargetFailed,
-                format!("the service failed: {e}"),
-                "ask for the outcome before sending the request again",
-            )
-        })?;
-    let mut builder = HttpResponse::build(answer.status());
-    builder.header(headers::REQUEST_ID, format!("{:x}", request_id.0));
-    if let Some(kind) = answer.headers().get(header::CONTENT_TYPE) {
-        builder.header(header::CONTENT_TYPE, kind.clone());
+    match key {
+        Some(key) if !repeatable => once::run(context, job, key).await,
+        _ => Ok(repeatable::run(context, &job).await?.into_response(id)),
     }
-    let body = answer.body().await.map_err(|e| {
-        CallerError::may_have_run(
-            ErrorKind::TargetFailed,
-            format!("the service's answer broke off: {e}"),
-            "ask for the outcome before sending the request again",
+}
+
+/// Time that the caller allows, or else the route's.
+pub(super) fn deadline(headers: &HeaderMap, longest_wait_ms: u64) -> Result<Duration, CallerError> {
+    let Some(value) = headers.get(names::DEADLINE_MS) else {
+        return Ok(Duration::from_millis(longest_wait_ms));
+    };
+    let parsed = value.to_str().ok().and_then(|v| v.parse().ok());
+    let wait = parsed.ok_or_else(|| {
+        CallerError::not_run(
+            ErrorKind::BadRequest,
+            format!("`{}` is not a number of milliseconds", names::DEADLINE_MS),
+            "send a whole number, or leave the header out",
         )
     })?;
-    Ok(builder.body(body))
+    Ok(Duration::from_millis(wait))
 }
 
-/// Copies the headers that a target may see. The caller's key is never among them.
-fn forwarded_headers(incoming: &HeaderMap) -> HeaderMap {
-    const DROPPED: [&str; 9] = [
-        "authorization",
-        headers::API_KEY,
-        "connection",
-        "keep-alive",
-        "transfer-encoding",
-        "content-length",
-        "host",
-        "upgrade",
-        "proxy-authorization",
-    ];
-    let mut outgoing = HeaderMap::new();
-    for (name, value) in incoming {
-        if !DROPPED.contains(&name.as_str()) {
-            outgoing.append(name.clone(), value.clone());
-        }
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, CallerError> {
+    const KEY_BYTES: usize = 255;
+    let Some(value) = headers.get(names::IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let key = value.to_str().unwrap_or_default();
+    if key.is_empty() || key.len() > KEY_BYTES {
+        return Err(CallerError::not_run(
+            ErrorKind::BadRequest,
+            format!("the `Idempotency-Key` is not 1 to {KEY_BYTES} printable ASCII characters"),
+            "send a key of that form",
+        ));
     }
-    outgoing
+    Ok(Some(key.to_owned()))
+}
+
+fn unknown_route(path: &str) -> CallerError {
+    CallerError::not_run(
+        ErrorKind::UnknownRoute,
+        format!("no route has path {path:?}"),
+        "check the path",
+    )
 }
--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -2,11 +2,12 @@
 
 use jujubebeam_core::VmId;
 use jujubebeam_core::peer::PeerMessage;
-use jujubebeam_peer::{Envelope, MESSAGES_PATH, decode, encode};
+use jujubebeam_peer::{Envelope, MESSAGES_PATH, RUN_PATH, decode, encode};
 use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
 use crate::context::Context;
+use crate::{caller, crashes, ledger};
 
 /// Largest body of an envelope.
 const ENVELOPE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -15,6 +16,7 @@
 pub(crate) fn configure(config: &mut ServiceConfig) {
     config
         .state(web::types::PayloadConfig::new(ENVELOPE_LIMIT_BYTES))
+        .route(RUN_PATH, web::post().to(caller::run_for_peer))
         .route(MESSAGES_PATH, web::post().to(receive));
 }
 
@@ -63,7 +65,7 @@
     }
 }
 
-fn deliver_all(context: &Context, envelope: Envelope<PeerMessage>) -> Vec<PeerMessage> {
+pub(crate) fn deliver_all(context: &Context, envelope: Envelope<PeerMessage>) -> Vec<PeerMessage> {
     let from = envelope.from;
     envelope
         .messages
@@ -73,11 +75,13 @@
 }
 
 /// Hands a message to its machine. The returned message is sent back in the same exchange.
-fn deliver(_context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
+fn deliver(context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
     match message {
         PeerMessage::Ping => {
             log::trace!("vm: ping from {from}");
             None
         }
+        PeerMessage::Once(message) => ledger::deliver(context, from, message),
+        PeerMessage::Quarantine(message) => crashes::deliver(context, message),
     }
 }
--- a/crates/jujubebeam/src/shared.rs
+++ b/crates/jujubebeam/src/shared.rs
@@ -10,6 +10,8 @@
 use jujubebeam_core::{Incarnation, RequestId, SystemClock, TargetId, VmId};
 use jujubebeam_vmlist::VmList;
 
+use crate::crashes::CrashShards;
+use crate::ledger::OnceShards;
 use crate::process_config::ProcessConfig;
 
 /// State of the process. Every part has its own lock, and no lock is held across an await.
@@ -25,14 +27,21 @@
     vms: RwLock<Arc<VmList>>,
     loads: RwLock<HashMap<TargetId, LoadReport>>,
     next_serial: AtomicU64,
+    /// Requests that may run at most once.
+    pub(crate) once: OnceShards,
+    /// Crash counts and retry budgets.
+    pub(crate) crashes: CrashShards,
 }
 
 impl Shared {
     /// Creates the state of a fresh process.
     pub(crate) fn new(config: ProcessConfig) -> Self {
+        let incarnation = new_incarnation();
         Self {
+            once: OnceShards::new(config.vm, incarnation),
+            crashes: CrashShards::new(),
             config,
-            incarnation: new_incarnation(),
+            incarnation,
             clock: SystemClock::new(),
             snapshot: RwLock::new(None),
             vms: RwLock::new(Arc::new(VmList::default())),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,10 +1,12 @@
 //! The platform's services in one process: store, vm list, ordering, usage and weight store.
 
+mod lease_grant;
 mod store;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use jujubebeam_store::wire::paths::LEASE_GRANT;
 use jujubebeam_vmlist::{VM_LIST_PATH, VmList};
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
@@ -30,7 +32,9 @@
 
 fn configure(config: &mut ServiceConfig) {
     store::configure(config);
-    config.route(VM_LIST_PATH, web::get().to(list_vms));
+    config
+        .route(LEASE_GRANT, web::post().to(lease_grant::grant))
+        .route(VM_LIST_PATH, web::get().to(list_vms));
 }
 
 async fn list_vms(platform: PlatformState) -> HttpResponse {
