--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::membership;
+use crate::once::OnceMessage;
+use crate::quarantine::QuarantineMessage;
 use crate::settings::replica;
 
 /// A message from one vm to another. Each machine that talks to other vms has a variant.
@@ -14,4 +16,8 @@
     Settings(replica::Message),
     /// Membership.
     Membership(membership::Message),
+    /// Between the ledgers of requests that may run at most once.
+    Once(OnceMessage),
+    /// Crash counts of requests.
+    Quarantine(QuarantineMessage),
 }
--- a/crates/jujubebeam/src/caller/auth.rs
+++ b/crates/jujubebeam/src/caller/auth.rs
@@ -116,7 +116,7 @@
     )
 }
 
-fn presented_key(headers: &HeaderMap) -> Option<&str> {
+pub(crate) fn presented_key(headers: &HeaderMap) -> Option<&str> {
     if let Some(value) = headers.get(header::AUTHORIZATION) {
         let text = value.to_str().ok()?;
         return text.strip_prefix("Bearer ").map(str::trim);
@@ -124,7 +124,10 @@
     headers.get(headers::API_KEY)?.to_str().ok()
 }
 
-fn workspace_for_key(snapshot: &Snapshot, hash: KeyHash) -> Result<&WorkspaceSpec, CallerError> {
+pub(crate) fn workspace_for_key(
+    snapshot: &Snapshot,
+    hash: KeyHash,
+) -> Result<&WorkspaceSpec, CallerError> {
     let grant = snapshot.keys.get(&hash).ok_or_else(unknown_key)?;
     if grant.state == KeyState::Withdrawn {
         return Err(CallerError::not_run(
--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -2,12 +2,13 @@
 
 use jujubebeam_core::VmId;
 use jujubebeam_core::peer::PeerMessage;
-use jujubebeam_peer::{Envelope, MESSAGES_PATH, decode, encode};
+use jujubebeam_peer::{Envelope, MESSAGES_PATH, RUN_PATH, decode, encode};
 use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
 use crate::context::Context;
 use crate::control::{membership, settings};
+use crate::{caller, crashes, ledger};
 
 /// Largest body of an envelope.
 const ENVELOPE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -16,6 +17,7 @@
 pub(crate) fn configure(config: &mut ServiceConfig) {
     config
         .state(web::types::PayloadConfig::new(ENVELOPE_LIMIT_BYTES))
+        .route(RUN_PATH, web::post().to(caller::run_for_peer))
         .route(MESSAGES_PATH, web::post().to(receive));
 }
 
@@ -71,7 +73,7 @@
     }
 }
 
-fn deliver_all(context: &Context, envelope: Envelope<PeerMessage>) -> Vec<PeerMessage> {
+pub(crate) fn deliver_all(context: &Context, envelope: Envelope<PeerMessage>) -> Vec<PeerMessage> {
     let from = envelope.from;
     envelope
         .messages
@@ -89,5 +91,7 @@
         }
         PeerMessage::Settings(message) => settings::deliver(context, from, message),
         PeerMessage::Membership(message) => membership::deliver(context, from, message),
+        PeerMessage::Once(message) => ledger::deliver(context, from, message),
+        PeerMessage::Quarantine(message) => crashes::deliver(context, message),
     }
 }
--- a/crates/jujubebeam/src/shared.rs
+++ b/crates/jujubebeam/src/shared.rs
@@ -12,6 +12,8 @@
 
 use crate::control::membership::MembershipState;
 use crate::control::settings::SettingsState;
+use crate::crashes::CrashShards;
+use crate::ledger::OnceShards;
 use crate::process_config::ProcessConfig;
 use crate::running::{RunningCounter, RunningGuard};
 
@@ -33,6 +35,10 @@
     vms: RwLock<Arc<VmList>>,
     loads: RwLock<HashMap<TargetId, LoadReport>>,
     next_serial: AtomicU64,
+    /// Requests that may run at most once.
+    pub(crate) once: OnceShards,
+    /// Crash counts and retry budgets.
+    pub(crate) crashes: CrashShards,
 }
 
 impl Shared {
@@ -43,6 +49,8 @@
             settings: SettingsState::new(&config, incarnation),
             membership: MembershipState::new(&config, incarnation),
             running: RunningCounter::default(),
+            once: OnceShards::new(config.vm, incarnation),
+            crashes: CrashShards::new(),
             config,
             incarnation,
             clock: SystemClock::new(),
