Count usage and close its windows

Each run of a vm keeps one log of served answers. A frozen window records the position up to which it counted each log, so the next window continues there. Ruled out: the counters per vm and workspace in the frozen record, which at 360 vms and 2,500 requests/s would exceed the store's 1 MB per value; moving late counters by their owner, which leaves out what only copies of a lost vm contain. Vms also copy on the logs of vms that left the list.

--- a/crates/core/src/authority.rs
+++ b/crates/core/src/authority.rs
@@ -13,3 +13,4 @@
 pub use intent::{Holder, Intent, IntentState};
 pub use machine::{Authority, Command, Event, Outcome, Refusal, SendResult};
 pub use scope::Scope;
+pub(crate) use scope::mix;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod settings;
 pub mod store;
 pub mod targets;
+pub mod usage;
 
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use ids::{
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -7,3 +7,4 @@
 pub(crate) mod receivers;
 pub(crate) mod seeds;
 pub(crate) mod store_model;
+pub(crate) mod usage_world;
