--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! commands. The daemon is a thin shell around these machines, and a test can drive many vms in
 //! one process. See `docs/design.md`, section 4.1.
 
+pub mod authority;
 mod clock;
 mod ids;
 pub mod invariant;
@@ -16,6 +17,7 @@
 pub mod settings;
 pub mod store;
 pub mod targets;
+pub mod usage;
 
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use ids::{
