Model reads since a revision in the order tests

Cause: the settings replica added StoreOp::ListSince, which the store model of the order and usage tests did not know; the merge did not build.

--- a/crates/core/tests/support/store_model.rs
+++ b/crates/core/tests/support/store_model.rs
@@ -32,6 +32,10 @@
                 entries: self.list(&prefix),
                 store,
             },
+            StoreOp::ListSince { prefix, after } => StoreReply::Values {
+                entries: self.list_since(&prefix, after),
+                store,
+            },
             StoreOp::Cas {
                 key,
                 expected,
@@ -76,6 +80,12 @@
         all.filter(|e| e.key.starts_with(prefix)).cloned().collect()
     }
 
+    fn list_since(&self, prefix: &str, after: Revision) -> Vec<Entry> {
+        let mut entries = self.list(prefix);
+        entries.retain(|e| e.modified > after);
+        entries
+    }
+
     fn cas(
         &mut self,
         key: String,
