Serve the operator API

Cause: the operators' client had no counterpart in the daemon.

Keys for tickets, outcomes and the model list now also need fresh settings; before, a withdrawn key could read outcomes at a stale vm.

--- a/crates/core/src/settings/replica.rs
+++ b/crates/core/src/settings/replica.rs
@@ -174,6 +174,16 @@
         self.set.revision(subtree)
     }
 
+    /// A subtree as this vm has it in force.
+    pub fn subtree(&self, name: &str) -> Option<Subtree> {
+        self.set.subtree(name)
+    }
+
+    /// Names of all subtrees that exist.
+    pub fn names(&self) -> Vec<String> {
+        self.set.names()
+    }
+
     /// Vms that watch the store, as this vm sees it: the highest rendezvous ranks.
     pub fn watchers(&self) -> Vec<VmId> {
         let mut ranked = self.live.clone();
--- a/crates/core/src/settings/replica/set.rs
+++ b/crates/core/src/settings/replica/set.rs
@@ -52,6 +52,22 @@
         self.subtrees.get(name).map(|(revision, _)| *revision)
     }
 
+    /// A subtree with its text.
+    pub(crate) fn subtree(&self, name: &str) -> Option<Subtree> {
+        let (revision, text) = self.subtrees.get(name)?;
+        Some(Subtree {
+            name: name.to_owned(),
+            revision: *revision,
+            text: text.clone(),
+        })
+    }
+
+    /// Names of all subtrees that exist.
+    pub(crate) fn names(&self) -> Vec<String> {
+        let existing = self.subtrees.iter().filter(|(_, (_, text))| text.is_some());
+        existing.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Hash of the sorted pairs of subtree and revision.
     pub(crate) fn digest(&self) -> u64 {
         self.digest
@@ -65,11 +81,9 @@
 
     /// Subtrees that are neither tombstones nor in `names`.
     pub(crate) fn missing_from(&self, names: &[&str]) -> Vec<String> {
-        let live = self.subtrees.iter().filter(|(_, (_, text))| text.is_some());
-        live.map(|(name, _)| name)
-            .filter(|name| !names.contains(&name.as_str()))
-            .cloned()
-            .collect()
+        let mut missing = self.names();
+        missing.retain(|name| !names.contains(&name.as_str()));
+        missing
     }
 
     /// Subtrees above a revision in ascending order, and whether all of them fitted. At least one
--- a/crates/jujubebeam/src/caller.rs
+++ b/crates/jujubebeam/src/caller.rs
@@ -15,7 +15,7 @@
 use jujubebeam_core::Clock;
 
 use crate::context::Context;
-use crate::running;
+use crate::{operator_api, running};
 
 pub(crate) use service::run_for_peer;
 
@@ -24,6 +24,7 @@
 
 /// Adds the routes of the caller listener.
 pub(crate) fn configure(config: &mut ServiceConfig) {
+    operator_api::configure(config);
     config
         .route("/healthz", web::get().to(health))
         .route("/readyz", web::get().to(ready))
--- a/crates/jujubebeam/src/caller/auth.rs
+++ b/crates/jujubebeam/src/caller/auth.rs
@@ -26,28 +26,38 @@
     route: &RouteSpec,
     headers: &HeaderMap,
 ) -> Result<Option<&'a WorkspaceSpec>, CallerError> {
-    let Some(key) = presented_key(headers) else {
-        if route.settings.access == AccessRule::Open {
-            return Ok(None);
-        }
+    if presented_key(headers).is_none() && route.settings.access == AccessRule::Open {
+        return Ok(None);
+    }
+    let workspace = workspace(shared, snapshot, headers)?;
+    if !workspace.may_use_route(route.id) {
         return Err(CallerError::not_run(
+            ErrorKind::NotAllowed,
+            format!("the workspace may not use route {:?}", route.settings.name),
+            "ask the operator of the workspace to add the route",
+        ));
+    }
+    Ok(Some(workspace))
+}
+
+/// Returns the workspace whose key came with a request.
+pub(crate) fn workspace<'a>(
+    shared: &Shared,
+    snapshot: &'a Snapshot,
+    headers: &HeaderMap,
+) -> Result<&'a WorkspaceSpec, CallerError> {
+    let key = presented_key(headers).ok_or_else(|| {
+        CallerError::not_run(
             ErrorKind::UnknownKey,
             "no key was sent",
             "send `Authorization: Bearer KEY`",
-        ));
-    };
+        )
+    })?;
     if !shared.settings.permit().may_start(shared.clock.now()) {
         return Err(stale());
     }
     let hash = KeyHash::of_key(key);
     let workspace = workspace_for_key(snapshot, hash)?;
-    if !workspace.may_use_route(route.id) {
-        return Err(CallerError::not_run(
-            ErrorKind::NotAllowed,
-            format!("the workspace may not use route {:?}", route.settings.name),
-            "ask the operator of the workspace to add the route",
-        ));
-    }
     let grant = snapshot.keys.get(&hash);
     let bound = grant.is_some_and(|g| g.workspace == workspace.id && g.state == KeyState::Active);
     if !invariant::check(Invariant::KeyBoundToWorkspace, bound, || {
@@ -55,7 +65,7 @@
     }) {
         return Err(unknown_key());
     }
-    Ok(Some(workspace))
+    Ok(workspace)
 }
 
 /// A key under which a request runs.
@@ -116,7 +126,7 @@
     )
 }
 
-pub(crate) fn presented_key(headers: &HeaderMap) -> Option<&str> {
+fn presented_key(headers: &HeaderMap) -> Option<&str> {
     if let Some(value) = headers.get(header::AUTHORIZATION) {
         let text = value.to_str().ok()?;
         return text.strip_prefix("Bearer ").map(str::trim);
@@ -124,10 +134,7 @@
     headers.get(headers::API_KEY)?.to_str().ok()
 }
 
-pub(crate) fn workspace_for_key(
-    snapshot: &Snapshot,
-    hash: KeyHash,
-) -> Result<&WorkspaceSpec, CallerError> {
+fn workspace_for_key(snapshot: &Snapshot, hash: KeyHash) -> Result<&WorkspaceSpec, CallerError> {
     let grant = snapshot.keys.get(&hash).ok_or_else(unknown_key)?;
     if grant.state == KeyState::Withdrawn {
         return Err(CallerError::not_run(
--- a/crates/jujubebeam/src/caller/models.rs
+++ b/crates/jujubebeam/src/caller/models.rs
@@ -1,9 +1,8 @@
 //! Lists the models that a caller may use.
 
-use jujubebeam_caller::{CallerError, ErrorKind, ModelEntry, ModelList};
+use jujubebeam_caller::{ModelEntry, ModelList};
 use jujubebeam_core::settings::document::TargetKind;
-use jujubebeam_core::settings::{KeyHash, Snapshot, WorkspaceSpec};
-use ntex::http::HeaderMap;
+use jujubebeam_core::settings::{Snapshot, WorkspaceSpec};
 use ntex::web::{HttpRequest, HttpResponse};
 
 use super::respond::error_response;
@@ -13,7 +12,7 @@
 pub(crate) async fn list(context: ContextState, request: HttpRequest) -> HttpResponse {
     let id = refusals::id_text(context.shared.new_request_id());
     let result = refusals::settings(&context).and_then(|snapshot| {
-        let workspace = workspace(&snapshot, request.headers())?;
+        let workspace = auth::workspace(&context.shared, &snapshot, request.headers())?;
         Ok(models(&snapshot, workspace))
     });
     match result {
@@ -22,21 +21,6 @@
     }
 }
 
-/// Workspace of the key that came with a request which belongs to no route.
-pub(crate) fn workspace<'a>(
-    snapshot: &'a Snapshot,
-    headers: &HeaderMap,
-) -> Result<&'a WorkspaceSpec, CallerError> {
-    let key = auth::presented_key(headers).ok_or_else(|| {
-        CallerError::not_run(
-            ErrorKind::UnknownKey,
-            "no key was sent",
-            "send `Authorization: Bearer KEY`",
-        )
-    })?;
-    auth::workspace_for_key(snapshot, KeyHash::of_key(key))
-}
-
 fn models(snapshot: &Snapshot, workspace: &WorkspaceSpec) -> ModelList {
     let mut names: Vec<&String> = snapshot
         .routes
--- a/crates/jujubebeam/src/caller/tickets.rs
+++ b/crates/jujubebeam/src/caller/tickets.rs
@@ -9,7 +9,7 @@
 
 use super::respond::error_response;
 use super::service::{Place, outcome_here, outcome_of_peer, place};
-use super::{ContextState, models, refusals};
+use super::{ContextState, auth, refusals};
 use crate::context::Context;
 
 /// Time after which a question for an outcome is answered `unknown`.
@@ -25,8 +25,8 @@
 
 fn ticket(context: &Context, request: &HttpRequest) -> Result<TicketAnswer, CallerError> {
     let snapshot = refusals::settings(context)?;
-    let workspace = models::workspace(&snapshot, request.headers())?;
     let shared = &context.shared;
+    let workspace = auth::workspace(shared, &snapshot, request.headers())?;
     let (serial, now) = (shared.next_serial(), shared.clock.now());
     Ok(TicketAnswer {
         idempotency_key: shared.once.mint.issue(serial, workspace.id, now),
@@ -39,7 +39,7 @@
     let id = context.shared.new_request_id();
     let key = request.match_info().get("key").unwrap_or_default();
     let workspace = refusals::settings(&context)
-        .and_then(|s| models::workspace(&s, request.headers()).map(|w| w.id));
+        .and_then(|s| auth::workspace(&context.shared, &s, request.headers()).map(|w| w.id));
     match workspace {
         Ok(workspace) => {
             let answer = answer(&context, id, Some(workspace), key).await;
--- a/crates/jujubebeam/src/cli/client.rs
+++ b/crates/jujubebeam/src/cli/client.rs
@@ -121,6 +121,12 @@
         self.call(Method::GET, paths::STATUS.to_owned(), None)
     }
 
+    /// Reads which vms have a subtree in force.
+    fn status_of(&self, subtree: &str) -> CliResult<StatusAnswer> {
+        let path = format!("{}?subtree={subtree}", paths::STATUS);
+        self.call(Method::GET, path, None)
+    }
+
     /// Reads the decisions about a request.
     pub(crate) fn explain(&self, request: &str) -> CliResult<ExplainAnswer> {
         let path = format!("{}/{request}", paths::EXPLAIN);
@@ -130,7 +136,7 @@
     fn wait_in_force(&self, accepted: &ChangeAccepted) -> CliResult {
         let deadline = Instant::now() + self.timeout;
         loop {
-            let missing = missing_vms(&self.status()?, accepted);
+            let missing = missing_vms(&self.status_of(&accepted.name)?, accepted);
             if missing.is_empty() {
                 return Ok(());
             }
--- a/crates/jujubebeam/src/control/settings.rs
+++ b/crates/jujubebeam/src/control/settings.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
-use std::sync::{Mutex, PoisonError, RwLock};
+use std::sync::{Mutex, MutexGuard, PoisonError, RwLock};
 
 use documents::Documents;
 use jujubebeam_core::peer::PeerMessage;
@@ -62,6 +62,11 @@
         *self.permit.read().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The replica, for reading.
+    pub(crate) fn machine(&self) -> MutexGuard<'_, Replica> {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn add_waiter(&self, ticket: u64, waiter: Waiter) {
         let mut waiters = self.waiters.lock().unwrap_or_else(PoisonError::into_inner);
         waiters.insert(ticket, waiter);
@@ -129,11 +134,7 @@
         if let Some(snapshot) = documents.compile_if_changed() {
             shared.set_snapshot(snapshot);
         }
-        let permit = settings
-            .machine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .permit(shared.clock.now());
+        let permit = settings.machine().permit(shared.clock.now());
         *settings
             .permit
             .write()
--- a/crates/jujubebeam/src/lib.rs
+++ b/crates/jujubebeam/src/lib.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod ledger;
 mod metrics;
+mod operator_api;
 mod part;
 mod peers;
 mod process_config;
--- a/crates/operator/src/api.rs
+++ b/crates/operator/src/api.rs
@@ -47,6 +47,8 @@
     pub name: String,
     /// Revision of the change.
     pub revision: Revision,
+    /// Whether a majority of the vms has confirmed that they hold it.
+    pub confirmed: bool,
 }
 
 /// Answer to a change that was not accepted.
