Refuse a different request under one key at every vm

The mark in the store holds the hash of the request, so a vm that finds another vm's mark compares before it hands out the kept answer.

Cause: a repeat at another vm with another body received the answer of the first request, because only the marking vm knew its hash.

Ruled out: asking the marking vm to compare, because it may be gone.

Conclusion: the rule holds at every vm that can read the store.

--- a/crates/core/src/once/marks.rs
+++ b/crates/core/src/once/marks.rs
@@ -64,16 +64,20 @@
         for key in keys {
             if let Some(entry) = self.entries.map.get_mut(&key) {
                 entry.phase = Phase::Marking;
-                marked.push((key, entry.serial));
+                marked.push((key, entry.serial, entry.body.unwrap_or_default()));
             }
         }
         let entries = marked
             .iter()
-            .map(|(key, serial)| (key.store_key(), self.mark(*serial).encode()))
+            .map(|(key, serial, body)| (key.store_key(), self.mark(*serial).encode(body)))
+            .collect();
+        let keys = marked
+            .into_iter()
+            .map(|(key, serial, _)| (key, serial))
             .collect();
         let lease = self.lease.map(|(lease, _)| lease);
         self.call(
-            Call::Create(marked),
+            Call::Create(keys),
             StoreOp::CreateAll { entries, lease },
             out,
         );
@@ -197,12 +201,15 @@
         let Some(entry) = self.entries.map.get(&key) else {
             return;
         };
-        let Some(mark) = Mark::decode(value) else {
+        let Some((mark, body)) = Mark::decode(value) else {
             return self.forget(key, out, Answer::Outcome(OnceOutcome::Unknown));
         };
         if mark == self.mark(entry.serial) {
             return self.mark_is_ours(key, now, out);
         }
+        if entry.body != Some(body) {
+            return self.forget(key, out, Answer::Refuse(OnceRefusal::BodyDiffers));
+        }
         if mark.vm == self.vm {
             // An earlier entry or run of this vm created it, and its outcome was not kept.
             return self.forget(key, out, Answer::Outcome(OnceOutcome::Unknown));
--- a/crates/core/src/once/peers.rs
+++ b/crates/core/src/once/peers.rs
@@ -157,7 +157,7 @@
         let mark = match &reply {
             StoreReply::Value {
                 entry: Some(entry), ..
-            } => Mark::decode(&entry.value),
+            } => Mark::decode(&entry.value).map(|(mark, _)| mark),
             _ => None,
         };
         let Some(mark) = mark else {
--- a/crates/core/src/once/types.rs
+++ b/crates/core/src/once/types.rs
@@ -48,19 +48,27 @@
 }
 
 impl Mark {
-    /// Bytes that the store holds.
-    pub fn encode(&self) -> Vec<u8> {
-        format!("{} {} {}", self.vm, self.incarnation, self.serial).into_bytes()
+    /// Bytes that the store holds. The body's hash lets every vm refuse a different request.
+    pub fn encode(&self, body: &BodyHash) -> Vec<u8> {
+        let mut text = format!("{} {} {} ", self.vm, self.incarnation, self.serial);
+        text.extend(body.iter().map(|b| format!("{b:02x}")));
+        text.into_bytes()
     }
 
     /// Reads what [`Mark::encode`] wrote.
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
+    pub fn decode(bytes: &[u8]) -> Option<(Self, BodyHash)> {
         let mut parts = std::str::from_utf8(bytes).ok()?.split(' ');
-        Some(Self {
+        let mark = Self {
             vm: VmId(parts.next()?.parse().ok()?),
             incarnation: Incarnation(parts.next()?.parse().ok()?),
             serial: parts.next()?.parse().ok()?,
-        })
+        };
+        let hex = parts.next()?;
+        let mut body = BodyHash::default();
+        for (i, byte) in body.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(hex.get(2 * i..2 * i + 2)?, 16).ok()?;
+        }
+        Some((mark, body))
     }
 }
 
