Send refusals before a body was read without losing them

A refused request's body is read for at most 100 ms and 256 KB; if more is to come, the answer closes the connection.

Cause: a refusal before the body was read closed a connection that its answer had declared reusable, so the next request on it failed.

Ruled out: reading every body to its end, because a slow sender would hold its own refusal back.

A body of more than 256 KB that is still being sent may still lose it.

--- /dev/null
+++ b/crates/core/tests/request_budget.rs
@@ -0,0 +1,22 @@
+//! Guards against retries that amplify an overload, and against a quiet route without retries.
+
+use std::time::Duration;
+
+use jujubebeam_core::request::{RetryBudget, RetryBudgetConfig};
+
+/// Guards against more retries than a tenth of the successes and one a second.
+#[test]
+fn retries_follow_successes_and_time() {
+    let config = RetryBudgetConfig::default();
+    let mut now = Duration::from_secs(1);
+    let mut budget = RetryBudget::new(config, now);
+    let saved = (0..100).filter(|_| budget.take(now)).count();
+    assert_eq!(saved, 10);
+    // Slightly more than 20 successes, because a tenth has no exact binary form.
+    for _ in 0..21 {
+        budget.succeeded();
+    }
+    assert_eq!((0..100).filter(|_| budget.take(now)).count(), 2);
+    now += Duration::from_secs(1);
+    assert_eq!((0..100).filter(|_| budget.take(now)).count(), 1);
+}
--- a/crates/jujubebeam/src/caller/body.rs
+++ b/crates/jujubebeam/src/caller/body.rs
@@ -1,15 +1,50 @@
 //! Reads request bodies within a size and a time limit.
 
 use jujubebeam_caller::{CallerError, ErrorKind};
+use ntex::http::ConnectionType;
 use ntex::time::{Millis, timeout};
 use ntex::util::{Bytes, BytesMut};
+use ntex::web::HttpResponse;
 use ntex::web::types::Payload;
 
+use super::respond::error_response;
+
 /// Time in which a whole body must arrive.
 const BODY_TIMEOUT: Millis = Millis(10_000);
 
+/// Most that is read of a body whose request is refused.
+const DRAIN_BYTES: usize = 256 * 1024;
+/// Time for reading the body of a refused request. It bounds how long the refusal is held back.
+const DRAIN_TIMEOUT: Millis = Millis(100);
+
+/// Sends a refusal. A connection that is closed with unread bytes is reset, which can destroy the
+/// answer on its way, so a short rest of the body is read first. If more is to come, the answer
+/// says that the connection closes.
+pub(crate) async fn refuse(mut payload: Payload, error: CallerError) -> HttpResponse {
+    let ended = timeout(DRAIN_TIMEOUT, drain(&mut payload)).await;
+    let mut response = error_response(error);
+    if ended != Ok(true) {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+/// Returns whether the body ended.
+async fn drain(payload: &mut Payload) -> bool {
+    let mut read_bytes = 0;
+    while let Some(chunk) = payload.recv().await {
+        read_bytes += chunk.map_or(DRAIN_BYTES, |c| c.len());
+        if read_bytes >= DRAIN_BYTES {
+            return false;
+        }
+    }
+    true
+}
+
 /// Reads a body of at most `limit_bytes`.
-pub(crate) async fn read(payload: Payload, limit_bytes: usize) -> Result<Bytes, CallerError> {
+pub(crate) async fn read(payload: &mut Payload, limit_bytes: usize) -> Result<Bytes, CallerError> {
     match timeout(BODY_TIMEOUT, collect(payload, limit_bytes)).await {
         Ok(result) => result,
         Err(()) => Err(CallerError::not_run(
@@ -20,7 +55,7 @@
     }
 }
 
-async fn collect(mut payload: Payload, limit_bytes: usize) -> Result<Bytes, CallerError> {
+async fn collect(payload: &mut Payload, limit_bytes: usize) -> Result<Bytes, CallerError> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.recv().await {
         let chunk = chunk.map_err(|e| {
--- a/crates/jujubebeam/src/caller/chat.rs
+++ b/crates/jujubebeam/src/caller/chat.rs
@@ -17,7 +17,6 @@
 use ntex::web::{self, HttpRequest, HttpResponse};
 use tokio::sync::mpsc;
 
-use super::respond::error_response;
 use super::{ContextState, auth, body, refusals, service};
 use crate::context::Context;
 
@@ -60,19 +59,19 @@
 pub(crate) async fn complete(
     context: ContextState,
     request: HttpRequest,
-    payload: web::types::Payload,
+    mut payload: web::types::Payload,
 ) -> HttpResponse {
     let id = context.shared.new_request_id();
-    match run(&context, &request, payload, id).await {
+    match run(&context, &request, &mut payload, id).await {
         Ok(response) => response,
-        Err(error) => error_response(error.request_id(refusals::id_text(id))),
+        Err(error) => body::refuse(payload, error.request_id(refusals::id_text(id))).await,
     }
 }
 
 async fn run(
     context: &Context,
     request: &HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     id: RequestId,
 ) -> Result<HttpResponse, CallerError> {
     let snapshot = refusals::settings(context)?;
--- a/crates/jujubebeam/src/caller/service.rs
+++ b/crates/jujubebeam/src/caller/service.rs
@@ -20,7 +20,6 @@
 pub(crate) use forward::{outcome_of_peer, run_for_peer};
 pub(crate) use once::{Place, outcome_here, place};
 
-use super::respond::error_response;
 use super::{ContextState, auth, body, refusals};
 use crate::context::Context;
 
@@ -79,19 +78,19 @@
 pub(crate) async fn forward(
     context: ContextState,
     request: HttpRequest,
-    payload: web::types::Payload,
+    mut payload: web::types::Payload,
 ) -> HttpResponse {
     let id = context.shared.new_request_id();
-    match run(&context, &request, payload, id).await {
+    match run(&context, &request, &mut payload, id).await {
         Ok(response) => response,
-        Err(error) => error_response(error.request_id(refusals::id_text(id))),
+        Err(error) => body::refuse(payload, error.request_id(refusals::id_text(id))).await,
     }
 }
 
 async fn run(
     context: &Context,
     request: &HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     id: RequestId,
 ) -> Result<HttpResponse, CallerError> {
     let snapshot = refusals::settings(context)?;
--- a/crates/jujubebeam/tests/requests.rs
+++ b/crates/jujubebeam/tests/requests.rs
@@ -50,11 +50,18 @@
     async fn is_ready(&self, vm: usize) -> bool {
         let url = format!("http://{}/readyz", self.fleet.vms[vm]);
         let answer = self.client.get(url).send().await;
+        // A vm that has not read the whole vm list cannot reach the other one.
         answer.is_ok_and(|a| a.status().is_success())
+            && self.listed(vm).await == 2
             && self.chat(vm, "ready?", false).await.status == 200
             && self.call(vm, "GET", "/shop/ready", "", "").await.status == 200
     }
 
+    async fn listed(&self, vm: usize) -> usize {
+        let list = self.call(vm, "GET", "/v1/addresses", "", "").await.json();
+        list["addresses"].as_array().map_or(0, Vec::len)
+    }
+
     async fn call(&self, vm: usize, method: &str, path: &str, key: &str, body: &str) -> Reply {
         let url = format!("http://{}{path}", self.fleet.vms[vm]);
         let mut request = self
