Find the route of a forwarded request by its path

Cause: the head of a forwarded request carried the route's number, which two vms may assign differently while a change of settings spreads, so the request could have reached another group.

Ruled out: sending the route's name, because the path already decides.

No test covers two vms with different settings.

--- a/crates/jujubebeam/src/caller/service.rs
+++ b/crates/jujubebeam/src/caller/service.rs
@@ -50,11 +50,20 @@
         self.deadline.saturating_sub(context.shared.clock.now())
     }
 
-    fn route<'a>(&self, snapshot: &'a Snapshot) -> Option<&'a RouteSpec> {
-        snapshot.routes.iter().find(|r| r.id == self.route)
+    /// Route in the present settings, which may number routes differently than before.
+    fn route<'a>(&self, snapshot: &'a Snapshot) -> Result<&'a RouteSpec, CallerError> {
+        let path = self.path_and_query.split('?').next().unwrap_or_default();
+        service_route(snapshot, path)
     }
 }
 
+fn service_route<'a>(snapshot: &'a Snapshot, path: &str) -> Result<&'a RouteSpec, CallerError> {
+    snapshot
+        .route_for_path(path)
+        .filter(|r| r.settings.kind == TargetKind::Service)
+        .ok_or_else(|| unknown_route(path))
+}
+
 /// Whole answer of a service, or one that was kept.
 #[derive(Clone, Debug)]
 pub(super) struct Answer {
@@ -94,10 +103,7 @@
     id: RequestId,
 ) -> Result<HttpResponse, CallerError> {
     let snapshot = refusals::settings(context)?;
-    let route = snapshot
-        .route_for_path(request.path())
-        .filter(|r| r.settings.kind == TargetKind::Service)
-        .ok_or_else(|| unknown_route(request.path()))?;
+    let route = service_route(&snapshot, request.path())?;
     let workspace = auth::authorize(&snapshot, route, request.headers())?.map(|w| w.id);
     let method = request.method().clone();
     let key = idempotency_key(request.headers())?;
--- a/crates/jujubebeam/src/caller/service/call.rs
+++ b/crates/jujubebeam/src/caller/service/call.rs
@@ -11,7 +11,7 @@
 use ntex::http::header::{HeaderName, HeaderValue};
 use smallvec::SmallVec;
 
-use super::{Answer, Job, unknown_route};
+use super::{Answer, Job};
 use crate::caller::refusals;
 use crate::context::Context;
 use crate::crashes;
@@ -28,8 +28,7 @@
         return Err(error);
     }
     let snapshot = refusals::settings(context)?;
-    let path = &job.path_and_query;
-    let route = job.route(&snapshot).ok_or_else(|| unknown_route(path))?;
+    let route = job.route(&snapshot)?;
     let ask = Ask {
         request: job.request,
         route,
--- a/crates/jujubebeam/src/caller/service/forward.rs
+++ b/crates/jujubebeam/src/caller/service/forward.rs
@@ -4,7 +4,7 @@
 
 use jujubebeam_caller::{CallerError, ErrorKind, OutcomeAnswer, headers as names};
 use jujubebeam_core::once::Ticket;
-use jujubebeam_core::{Clock, RequestId, RouteId, WorkspaceId};
+use jujubebeam_core::{Clock, RequestId, WorkspaceId};
 use jujubebeam_http::CallError;
 use jujubebeam_peer::RUN_PATH;
 use ntex::http::header::{self, HeaderName, HeaderValue};
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::once::{self, Place, outcome_unknown};
-use super::{Answer, Job};
+use super::{Answer, Job, service_route};
 use crate::caller::respond::error_response;
 use crate::caller::{refusals, tickets};
 use crate::context::Context;
@@ -35,7 +35,6 @@
 struct RunHead {
     action: Action,
     request: RequestId,
-    route: RouteId,
     /// Workspace that the forwarding vm found for the caller's key.
     workspace: Option<WorkspaceId>,
     key: String,
@@ -56,7 +55,6 @@
     let head = RunHead {
         action: Action::Run,
         request: job.request,
-        route: job.route,
         workspace: job.workspace,
         key: key.to_owned(),
         method: job.method.as_str().to_owned(),
@@ -87,7 +85,6 @@
     let head = RunHead {
         action: Action::Outcome,
         request,
-        route: RouteId::default(),
         workspace,
         key: key.to_owned(),
         method: Method::GET.as_str().to_owned(),
@@ -178,6 +175,10 @@
     let Place::Here(kind) = once::place(context, &head.key, head.workspace)? else {
         return Err(outcome_unknown(&head.key));
     };
+    // The two vms may number routes differently while a change of settings spreads.
+    let snapshot = refusals::settings(context)?;
+    let path = head.path_and_query.split('?').next().unwrap_or_default();
+    let route = service_route(&snapshot, path)?;
     let mut headers = HeaderMap::new();
     for (name, value) in &head.headers {
         let name = HeaderName::from_bytes(name.as_bytes());
@@ -188,7 +189,7 @@
     headers.remove(names::ATTEMPT);
     let job = Job {
         request: head.request,
-        route: head.route,
+        route: route.id,
         workspace: head.workspace,
         method: Method::from_bytes(head.method.as_bytes()).unwrap_or(Method::POST),
         path_and_query: head.path_and_query,
