--- a/crates/jujubebeam/src/caller/service.rs
+++ b/crates/jujubebeam/src/caller/service.rs
@@ -20,7 +20,6 @@
 pub(crate) use forward::{outcome_of_peer, run_for_peer};
 pub(crate) use once::{Place, outcome_here, place};
 
-use super::respond::error_response;
 use super::{ContextState, auth, body, refusals};
 use crate::context::Context;
 
@@ -51,11 +50,20 @@
         self.deadline.saturating_sub(context.shared.clock.now())
     }
 
-    fn route<'a>(&self, snapshot: &'a Snapshot) -> Option<&'a RouteSpec> {
-        snapshot.routes.iter().find(|r| r.id == self.route)
+    /// Route in the present settings, which may number routes differently than before.
+    fn route<'a>(&self, snapshot: &'a Snapshot) -> Result<&'a RouteSpec, CallerError> {
+        let path = self.path_and_query.split('?').next().unwrap_or_default();
+        service_route(snapshot, path)
     }
 }
 
+fn service_route<'a>(snapshot: &'a Snapshot, path: &str) -> Result<&'a RouteSpec, CallerError> {
+    snapshot
+        .route_for_path(path)
+        .filter(|r| r.settings.kind == TargetKind::Service)
+        .ok_or_else(|| unknown_route(path))
+}
+
 /// Whole answer of a service, or one that was kept.
 #[derive(Clone, Debug)]
 pub(super) struct Answer {
@@ -79,26 +87,23 @@
 pub(crate) async fn forward(
     context: ContextState,
     request: HttpRequest,
-    payload: web::types::Payload,
+    mut payload: web::types::Payload,
 ) -> HttpResponse {
     let id = context.shared.new_request_id();
-    match run(&context, &request, payload, id).await {
+    match run(&context, &request, &mut payload, id).await {
         Ok(response) => response,
-        Err(error) => error_response(error.request_id(refusals::id_text(id))),
+        Err(error) => body::refuse(payload, error.request_id(refusals::id_text(id))).await,
     }
 }
 
 async fn run(
     context: &Context,
     request: &HttpRequest,
-    payload: web::types::Payload,
+    payload: &mut web::types::Payload,
     id: RequestId,
 ) -> Result<HttpResponse, CallerError> {
     let snapshot = refusals::settings(context)?;
-    let route = snapshot
-        .route_for_path(request.path())
-        .filter(|r| r.settings.kind == TargetKind::Service)
-        .ok_or_else(|| unknown_route(request.path()))?;
+    let route = service_route(&snapshot, request.path())?;
     let workspace =
         auth::authorize(&context.shared, &snapshot, route, request.headers())?.map(|w| w.id);
     let method = request.method().clone();
