Connect orders and usage with the outside

Cause: the machines of leases, orders and usage had no surroundings. Orders to engines, platform orders and reports now go out through their clients, each over a connection of its own, with the rest of the send deadline as timeout. Usage of an answer waits at most 20 ms for one copy.

Found on the way: a vm list was stamped with the time at which the machine got it. The list can be older than the intent of an earlier holder, so it counts as evidence only 3 s after a take-over (`list_age`), and the daemon hands on only lists that were read anew. Ruled out: a second reader of the vm list, which would double the calls.

`Finished` carries the order, because a finished report may be that of an earlier holder and thus of another window.

Not run: the daemon's part against real leases; the store stand-in has none at this commit.

Conclusion: the parts compile and the daemon serves as before; orders in real processes are still to be shown.

--- a/crates/core/src/authority/config.rs
+++ b/crates/core/src/authority/config.rs
@@ -15,6 +15,9 @@
     pub send_timeout: Duration,
     /// Time after which bytes of an unanswered send can no longer arrive at the receiver.
     pub quiet: Duration,
+    /// Longest time between asking for a vm list and handing it to the machine. A list that may
+    /// be older than the intents of an earlier holder is no evidence that the holder has ended.
+    pub list_age: Duration,
     /// Time before a failed call or send is tried again.
     pub retry_after: Duration,
     /// Time between two looks at a free scope by the vms of the two highest ranks. Each further
@@ -39,6 +42,7 @@
             margin: Duration::from_secs(1),
             send_timeout: Duration::from_millis(800),
             quiet: Duration::from_secs(1),
+            list_age: Duration::from_secs(3),
             retry_after: Duration::from_millis(500),
             probe_every: Duration::from_secs(1),
             probe_limit: Duration::from_secs(600),
--- a/crates/core/src/authority/lease.rs
+++ b/crates/core/src/authority/lease.rs
@@ -437,7 +437,7 @@
             (Phase::Checking, _) => self.not_before = retry,
             (Phase::Listing, _) if now >= self.valid_until => self.give_up(),
             (Phase::Listing, StoreReply::Values { entries, .. }) => {
-                self.list_from = now + common.config.quiet;
+                self.list_from = now + common.config.list_age;
                 self.take_office(entries, out);
             }
             (Phase::Listing, _) => self.not_before = retry,
@@ -569,20 +569,23 @@
         let Some(slot) = self.slots.get_mut(target) else {
             return;
         };
-        let settled = slot
-            .record
-            .as_ref()
-            .is_some_and(|r| r.state == IntentState::Settled && r.fence == self.fence);
-        let id = slot.record.as_ref().map(|r| r.order_id);
-        let Some((order_id, outcome)) = slot.answered.filter(|(i, _)| settled && Some(*i) == id)
+        let Some(record) = &slot.record else {
+            return;
+        };
+        let settled = record.state == IntentState::Settled && record.fence == self.fence;
+        let answered = slot.answered;
+        let Some((order_id, outcome)) =
+            answered.filter(|(id, _)| settled && *id == record.order_id)
         else {
             return;
         };
+        let order = record.order.clone();
         slot.answered = None;
         out.push(Command::Finished {
             scope: self.scope.clone(),
             target: target.to_owned(),
             order_id,
+            order,
             outcome,
         });
     }
--- a/crates/core/src/authority/machine.rs
+++ b/crates/core/src/authority/machine.rs
@@ -137,6 +137,8 @@
         target: String,
         /// Id of the order.
         order_id: u64,
+        /// The order.
+        order: O,
         /// How it ended.
         outcome: Outcome,
     },
@@ -206,8 +208,9 @@
     /// older than the vm, so it proves nothing.
     pub(super) fn has_ended(&self, holder: &Holder, list_from: Duration) -> bool {
         if holder.vm == self.me.vm {
-            // Own sends of earlier leases are over before a lease is sought again.
-            return holder.incarnation <= self.me.incarnation;
+            // Own sends of earlier leases are over before a lease is sought again, and earlier runs
+            // of this vm ended before this one could listen on its addresses.
+            return true;
         }
         let newer = self.runs.get(&holder.vm);
         let recent = !self.vms.is_empty() && self.vms_at >= list_from;
--- a/crates/core/src/usage/meter.rs
+++ b/crates/core/src/usage/meter.rs
@@ -70,6 +70,9 @@
     unix: Duration,
     logs: BTreeMap<Holder, Log>,
     peers: Vec<UsagePeer>,
+    /// Vms that get copies.
+    replicas: Vec<VmId>,
+    scan_at: Duration,
     copied: BTreeMap<(VmId, Holder), Copied>,
     waiting: VecDeque<(u64, u64)>,
     flush_at: Option<Duration>,
@@ -86,6 +89,8 @@
             unix: Duration::ZERO,
             logs: BTreeMap::new(),
             peers: Vec::new(),
+            replicas: Vec::new(),
+            scan_at: Duration::ZERO,
             copied: BTreeMap::new(),
             waiting: VecDeque::new(),
             flush_at: None,
@@ -132,7 +137,7 @@
     }
 
     /// Vms that get copies: in other zones if there are enough.
-    fn replicas(&self) -> Vec<VmId> {
+    fn choose_replicas(&self) -> Vec<VmId> {
         let others = self.peers.iter().filter(|p| p.vm != self.me.vm);
         let mut ranked: Vec<_> = others
             .map(|p| (p.zone == self.me.zone, self.weight(p.vm), p.vm))
@@ -153,10 +158,11 @@
         if due {
             self.flush_at = None;
         }
-        if self.config.faults.skip_copies {
+        if self.config.faults.skip_copies || !(due || now >= self.scan_at) {
             return;
         }
-        for to in self.replicas() {
+        self.scan_at = now + self.config.resend / 4;
+        for to in self.replicas.clone() {
             for (holder, log) in &self.logs {
                 let ended = self.peers.iter().all(|p| p.vm != holder.vm);
                 if *holder != self.holder && !ended {
@@ -280,6 +286,7 @@
             } => self.record(ticket, workspace, counts, now, out),
             MeterEvent::Peers(peers) => {
                 self.peers = peers;
+                self.replicas = self.choose_replicas();
                 self.tidy();
             }
             MeterEvent::Message(from, message) => self.message(from, message, out),
--- a/crates/jujubebeam/src/control.rs
+++ b/crates/jujubebeam/src/control.rs
@@ -1,7 +1,9 @@
 //! Control thread: keeps settings, the vm list and load reports up to date.
 
+pub(crate) mod authority;
 mod loads;
 mod settings;
+pub(crate) mod usage;
 mod vm_list;
 
 use std::sync::Arc;
@@ -15,4 +17,6 @@
     settings::start(&context);
     vm_list::start(&context);
     loads::start(&context);
+    authority::start(&context);
+    usage::start(&context);
 }
--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -1,12 +1,16 @@
 //! Messages to and from other vms.
 
 use jujubebeam_core::VmId;
+use jujubebeam_core::authority::{Event, Holder};
 use jujubebeam_core::peer::PeerMessage;
 use jujubebeam_peer::{Envelope, MESSAGES_PATH, decode, encode};
 use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
 use crate::context::Context;
+use crate::control::authority::Orders;
+use crate::control::usage;
+use crate::part::feed;
 
 /// Largest body of an envelope.
 const ENVELOPE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -65,6 +69,11 @@
 
 fn deliver_all(context: &Context, envelope: Envelope<PeerMessage>) -> Vec<PeerMessage> {
     let from = envelope.from;
+    let runs = Holder {
+        vm: from,
+        incarnation: envelope.incarnation,
+    };
+    feed::<Orders>(context, Event::VmRuns(runs));
     envelope
         .messages
         .into_iter()
@@ -73,11 +82,15 @@
 }
 
 /// Hands a message to its machine. The returned message is sent back in the same exchange.
-fn deliver(_context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
+fn deliver(context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
     match message {
         PeerMessage::Ping => {
             log::trace!("vm: ping from {from}");
             None
         }
+        PeerMessage::Usage(message) => {
+            usage::receive(context, from, message);
+            None
+        }
     }
 }
--- a/crates/jujubebeam/src/server.rs
+++ b/crates/jujubebeam/src/server.rs
@@ -28,6 +28,7 @@
         config.zone
     );
     control::start(shared.clone()).await;
+    let ending = Context::new(shared.clone()).await;
 
     let state = shared.clone();
     let peer_server = web::server(async move || {
@@ -50,6 +51,7 @@
     .run();
 
     let result = caller_server.await;
+    control::authority::shut_down(&ending).await;
     peer_server.stop(true).await;
     result
 }
--- a/crates/jujubebeam/src/shared.rs
+++ b/crates/jujubebeam/src/shared.rs
@@ -2,14 +2,19 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use jujubebeam_core::authority::{Authority, Holder};
 use jujubebeam_core::settings::Snapshot;
 use jujubebeam_core::targets::LoadReport;
+use jujubebeam_core::usage::{UsageMeter, WindowCloser};
 use jujubebeam_core::{Incarnation, RequestId, SystemClock, TargetId, VmId};
 use jujubebeam_vmlist::VmList;
+use tokio::sync::oneshot;
 
+use crate::control::authority::{self, ControlOrder};
+use crate::control::usage;
 use crate::process_config::ProcessConfig;
 
 /// State of the process. Every part has its own lock, and no lock is held across an await.
@@ -25,14 +30,31 @@
     vms: RwLock<Arc<VmList>>,
     loads: RwLock<HashMap<TargetId, LoadReport>>,
     next_serial: AtomicU64,
+    /// Leases and order intents.
+    pub(crate) authority: Mutex<Authority<ControlOrder>>,
+    /// Usage counters.
+    pub(crate) usage_meter: Mutex<UsageMeter>,
+    /// Closing of usage windows.
+    pub(crate) window_closer: Mutex<WindowCloser>,
+    usage_waiters: Mutex<HashMap<u64, oneshot::Sender<()>>>,
 }
 
 impl Shared {
     /// Creates the state of a fresh process.
     pub(crate) fn new(config: ProcessConfig) -> Self {
+        let incarnation = new_incarnation();
+        let me = Holder {
+            vm: config.vm,
+            incarnation,
+        };
+        let (usage_meter, window_closer) = usage::machines(me, &config.zone);
         Self {
             config,
-            incarnation: new_incarnation(),
+            incarnation,
+            authority: Mutex::new(authority::machine(me)),
+            usage_meter: Mutex::new(usage_meter),
+            window_closer: Mutex::new(window_closer),
+            usage_waiters: Mutex::default(),
             clock: SystemClock::new(),
             snapshot: RwLock::new(None),
             vms: RwLock::new(Arc::new(VmList::default())),
@@ -87,6 +109,20 @@
         RequestId(vm | incarnation | u128::from(self.next_serial() as u32))
     }
 
+    /// Waits for a copy of a usage record.
+    pub(crate) fn wait_for_usage_copy(&self, ticket: u64) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.usage_waiters).insert(ticket, sender);
+        receiver
+    }
+
+    /// Ends the wait for a copy, because it exists or took too long.
+    pub(crate) fn usage_copied(&self, ticket: u64) {
+        if let Some(waiter) = lock(&self.usage_waiters).remove(&ticket) {
+            let _ = waiter.send(());
+        }
+    }
+
     /// Address of another vm for messages.
     pub(crate) fn peer_address(&self, vm: VmId) -> Option<String> {
         let vms = self.vms();
@@ -103,6 +139,10 @@
     Incarnation(since_epoch.as_micros() as u64)
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
 fn read<T>(lock: &RwLock<T>) -> std::sync::RwLockReadGuard<'_, T> {
     lock.read().unwrap_or_else(|e| e.into_inner())
 }
