Show why a restarted target is not taken as free

Cause: section 5.1 of the design lets a new incarnation of a target settle an intent. The machine has this behind `trust_target_incarnation`, off.

Conclusion: the setting stays off until an order can be bound to the incarnation that it is meant for.

--- a/crates/core/tests/authority_without.rs
+++ b/crates/core/tests/authority_without.rs
@@ -60,3 +60,17 @@
     expect_violation(faults, "platform heard two holders");
     expect_violation(faults, "conflicting order");
 }
+
+/// Guards against taking a new incarnation of a target as proof that earlier orders cannot arrive:
+/// an order that was held up before it was sent reaches the new incarnation.
+#[test]
+fn orders_conflict_if_a_restarted_target_counts_as_free() {
+    let seed = (0..300).find(|seed| {
+        let mut config = OrderWorldConfig::new(*seed);
+        config.trust_target_incarnation = true;
+        let found = violations(&run(config).history);
+        found.iter().any(|v| v.starts_with("conflicting order"))
+    });
+    println!("trust_target_incarnation: conflicting order at seed {seed:?}");
+    assert!(seed.is_some());
+}
--- a/crates/core/tests/support/order_world.rs
+++ b/crates/core/tests/support/order_world.rs
@@ -387,6 +387,8 @@
                 Some((i.me, fence.0))
             })
             .collect();
+        let key = (scope.clone(), target.clone());
+        let restarts = self.receivers.get(&key).map_or(0, |r| r.restarts);
         for (me, decided) in holders {
             self.next_order += 1;
             let order = TestOrder {
@@ -396,7 +398,7 @@
             let request = Event::Request {
                 scope: scope.clone(),
                 target: target.clone(),
-                target_incarnation: Incarnation(0),
+                target_incarnation: Incarnation(1 + restarts),
                 order,
             };
             self.feed(me, request);
@@ -463,8 +465,18 @@
         self.network.after(gap, Item::RestartTarget);
         let target = format!("t{}", self.rng.random_range(0..TARGETS));
         let key = (engines("unfenced"), target);
-        if let Some(receiver) = self.receivers.get_mut(&key) {
-            receiver.restart();
+        let Some(receiver) = self.receivers.get_mut(&key) else {
+            return;
+        };
+        receiver.restart();
+        let event = Event::TargetRuns {
+            scope: key.0,
+            target: key.1,
+            incarnation: Incarnation(1 + receiver.restarts),
+        };
+        let all: Vec<Holder> = self.instances.values().map(|i| i.me).collect();
+        for to in all {
+            self.feed(to, event.clone());
         }
     }
 }
--- a/crates/core/tests/support/receivers.rs
+++ b/crates/core/tests/support/receivers.rs
@@ -32,6 +32,7 @@
     pub(crate) checks_fencing: bool,
     highest: u64,
     known: BTreeSet<u64>,
+    pub(crate) restarts: u64,
     busy_until: Duration,
 }
 
@@ -65,6 +66,7 @@
     /// A restarted target has forgotten all orders.
     pub(crate) fn restart(&mut self) {
         self.known.clear();
+        self.restarts += 1;
         self.busy_until = Duration::ZERO;
     }
 }
