Bound the store calls of a starting fleet, delete old windows

Cause: all vms looked at every scope when they started and contended at once. The first look now waits by rank like all later ones.

Reported windows were never deleted. The closer now deletes the window that is 60 older than the reported one.

--- a/crates/core/src/authority/lease.rs
+++ b/crates/core/src/authority/lease.rs
@@ -45,6 +45,8 @@
     pub(super) checks_fencing: bool,
     phase: Phase,
     not_before: Duration,
+    /// False until the first look at the scope is planned.
+    ranked: bool,
     /// Pending lease call and the time just before it was sent.
     call: Option<(CallToken, Duration)>,
     renewal: Option<(CallToken, Duration)>,
@@ -67,6 +69,7 @@
             checks_fencing: false,
             phase: Phase::Idle,
             not_before: Duration::ZERO,
+            ranked: false,
             call: None,
             renewal: None,
             renew_at: Duration::ZERO,
@@ -166,6 +169,12 @@
         }
         match self.phase {
             Phase::Idle if common.stopping || !common.vms.contains(&common.me.vm) => {}
+            Phase::Idle if !self.ranked => {
+                // Without this delay all vms of a fleet that starts would contend at once.
+                self.ranked = true;
+                let delay = common.probe_delay(&self.scope);
+                self.not_before = now + delay.saturating_sub(common.config.probe_every);
+            }
             Phase::Idle => {
                 let key = self.scope.lease_key();
                 self.lease_call(common, StoreOp::Get { key }, now, out);
--- a/crates/core/src/usage/closer.rs
+++ b/crates/core/src/usage/closer.rs
@@ -74,6 +74,9 @@
         requested: bool,
     },
     WritingHead,
+    /// Looks for a window that need not be kept any longer, and deletes it.
+    Finding,
+    Deleting,
 }
 
 /// Closes windows while this vm holds the `usage` scope.
@@ -97,6 +100,8 @@
     next_token: u64,
     not_before: Duration,
     last_reported: Option<FrozenWindow>,
+    /// Window to delete, with its revision.
+    expired: Option<(String, Revision)>,
 }
 
 impl WindowCloser {
@@ -120,6 +125,7 @@
             next_token: 0,
             not_before: Duration::ZERO,
             last_reported: None,
+            expired: None,
         }
     }
 
@@ -200,6 +206,8 @@
             Phase::Reporting { requested: false } => self.report(out),
             Phase::Reporting { requested: true } => {}
             Phase::WritingHead => self.write_head(out),
+            Phase::Finding => self.get(frozen_key(self.expired_window()), out),
+            Phase::Deleting => self.delete(out),
         }
     }
 
@@ -296,6 +304,17 @@
         self.cas(HEAD_KEY.to_owned(), self.head_at, value, out);
     }
 
+    fn expired_window(&self) -> u64 {
+        self.head.reported.saturating_sub(self.config.keep_windows)
+    }
+
+    fn delete(&mut self, out: &mut Vec<CloserCommand>) {
+        match self.expired.take() {
+            Some((key, expected)) => self.store(StoreOp::Delete { key, expected }, out),
+            None => self.phase = Phase::Waiting,
+        }
+    }
+
     fn report(&mut self, out: &mut Vec<CloserCommand>) {
         let same = self
             .last_reported
@@ -349,10 +368,19 @@
                 self.head_at = Expected::At(revision);
                 self.previous = std::mem::take(&mut self.present);
                 self.phase = match self.previous.window == self.head.frozen {
-                    true => Phase::Waiting,
+                    true => Phase::Finding,
                     false => Phase::ReadingPrevious,
                 };
             }
+            (Phase::Finding, StoreReply::Value { entry, .. }) => {
+                self.expired = entry.map(|e| (e.key, e.modified));
+                self.phase = match self.expired.is_some() {
+                    true => Phase::Deleting,
+                    false => Phase::Waiting,
+                };
+            }
+            // A window that could not be deleted stays; the bill does not depend on it.
+            (Phase::Finding | Phase::Deleting, _) => self.phase = Phase::Waiting,
             (Phase::WritingHead, StoreReply::Conflict { .. } | StoreReply::Unknown) => {
                 self.restart();
                 self.not_before = now + self.config.retry_after;
--- a/crates/core/src/usage/config.rs
+++ b/crates/core/src/usage/config.rs
@@ -23,6 +23,9 @@
     /// Number of windows for which positions of ended runs are remembered, so that a copy that
     /// reappears is not counted twice.
     pub remember_windows: u64,
+    /// Number of reported windows that stay in the store for inspection. A window is read only
+    /// until it is reported and the next one is frozen.
+    pub keep_windows: u64,
     /// Mechanisms that a test switches off.
     pub faults: UsageFaults,
 }
@@ -38,6 +41,7 @@
             copies: 2,
             retry_after: Duration::from_millis(500),
             remember_windows: 1440,
+            keep_windows: 60,
             faults: UsageFaults::default(),
         }
     }
--- a/crates/core/tests/authority_proof.rs
+++ b/crates/core/tests/authority_proof.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use jujubebeam_core::invariant;
 use support::order_world::{OrderWorldConfig, run};
 use support::receivers::violations;
@@ -35,3 +37,20 @@
         "the faults did not occur"
     );
 }
+
+fn calls_per_second(vms: u32) -> f64 {
+    let mut config = OrderWorldConfig::new(1);
+    config.vms = Some(vms);
+    config.requests = false;
+    config.stormy = Duration::ZERO;
+    config.calm = Duration::from_secs(600);
+    run(config).store_calls as f64 / 600.0
+}
+
+/// Guards against store calls that grow with the fleet.
+#[test]
+fn store_calls_do_not_grow_with_the_fleet() {
+    let (few, many) = (calls_per_second(6), calls_per_second(120));
+    println!("store calls per second for 4 scopes: {few:.1} by 6 vms, {many:.1} by 120 vms");
+    assert!(many < few * 1.5, "{few} by 6 vms, {many} by 120 vms");
+}
--- a/crates/core/tests/support/order_world.rs
+++ b/crates/core/tests/support/order_world.rs
@@ -29,6 +29,10 @@
     pub(crate) seed: u64,
     pub(crate) faults: AuthorityFaults,
     pub(crate) trust_target_incarnation: bool,
+    /// Number of vms; chosen by the seed if not set.
+    pub(crate) vms: Option<u32>,
+    /// Whether orders are requested.
+    pub(crate) requests: bool,
     /// Time with faults.
     pub(crate) stormy: Duration,
     /// Time without faults afterwards, in which orders must flow again.
@@ -41,6 +45,8 @@
             seed,
             faults: AuthorityFaults::default(),
             trust_target_incarnation: false,
+            vms: None,
+            requests: true,
             stormy: Duration::from_secs(150),
             calm: Duration::from_secs(90),
         }
@@ -153,7 +159,8 @@
             rng,
             config,
         };
-        for _ in 0..world.rng.random_range(3..=6) {
+        let chosen = world.rng.random_range(3..=6);
+        for _ in 0..world.config.vms.unwrap_or(chosen) {
             world.join_new();
         }
         for item in [
@@ -369,6 +376,9 @@
     }
 
     fn request(&mut self) {
+        if !self.config.requests {
+            return;
+        }
         self.network.after(TICK, Item::Request);
         let index = self.rng.random_range(0..self.scopes.len());
         let scope = self.scopes[index].0.clone();
--- a/crates/core/tests/support/usage_world.rs
+++ b/crates/core/tests/support/usage_world.rs
@@ -61,6 +61,8 @@
     pub(crate) reports: Vec<FrozenWindow>,
     pub(crate) kills: u64,
     pub(crate) takeovers: u64,
+    /// Frozen windows that the store holds at the end.
+    pub(crate) kept_windows: usize,
 }
 
 enum Item {
@@ -112,6 +114,7 @@
     while let Some(item) = world.network.next_before(end) {
         world.handle(item);
     }
+    world.run.kept_windows = world.store.list("usage/").len();
     world.run
 }
 
@@ -124,6 +127,7 @@
         let usage = UsageConfig {
             window: Duration::from_secs(20),
             faults: config.faults,
+            keep_windows: 3,
             ..UsageConfig::default()
         };
         let outage = Duration::from_secs(40);
--- a/crates/core/tests/usage_proof.rs
+++ b/crates/core/tests/usage_proof.rs
@@ -18,6 +18,8 @@
         let found = violations(&run);
         assert!(found.is_empty(), "seed {seed}: {found:#?}");
         assert_eq!(invariant::total(), 0, "seed {seed}");
+        // Three windows are kept, and a few deletions are lost.
+        assert!(run.kept_windows < 10, "seed {seed}: {}", run.kept_windows);
         kills += run.kills;
         takeovers += run.takeovers;
         reports += run.reports.len();
