Tell the window closer every second who holds the usage scope

Cause: two threads can perform `Acquired` and `Lost` in either order, after which the closer would stand still until the next change of holder. Found by reading; no run showed it. Wrong beliefs did no harm, because every write of the closer is guarded by the fence.

Figures: cargo test -p jujubebeam -p jujubebeam-standin passes.

Conclusion: the closer catches up within a second.

--- a/crates/jujubebeam/src/control/usage.rs
+++ b/crates/jujubebeam/src/control/usage.rs
@@ -107,6 +107,10 @@
 }
 
 fn look(context: &Context, last: &mut Option<Arc<Snapshot>>) {
+    // `Acquired` and `Lost` can be performed by two threads in either order, so the closer is also
+    // told what holds now.
+    let fence = authority::fence(context, &Scope::Usage);
+    feed::<Closer>(context, CloserEvent::Held(fence));
     let vms = context.shared.vms();
     let peers = vms.vms.iter().map(|vm| UsagePeer {
         vm: vm.vm,
