--- a/crates/core/src/authority/lease.rs
+++ b/crates/core/src/authority/lease.rs
@@ -45,6 +45,8 @@
     pub(super) checks_fencing: bool,
     phase: Phase,
     not_before: Duration,
+    /// False until the first look at the scope is planned.
+    ranked: bool,
     /// Pending lease call and the time just before it was sent.
     call: Option<(CallToken, Duration)>,
     renewal: Option<(CallToken, Duration)>,
@@ -67,6 +69,7 @@
             checks_fencing: false,
             phase: Phase::Idle,
             not_before: Duration::ZERO,
+            ranked: false,
             call: None,
             renewal: None,
             renew_at: Duration::ZERO,
@@ -166,6 +169,12 @@
         }
         match self.phase {
             Phase::Idle if common.stopping || !common.vms.contains(&common.me.vm) => {}
+            Phase::Idle if !self.ranked => {
+                // Without this delay all vms of a fleet that starts would contend at once.
+                self.ranked = true;
+                let delay = common.probe_delay(&self.scope);
+                self.not_before = now + delay.saturating_sub(common.config.probe_every);
+            }
             Phase::Idle => {
                 let key = self.scope.lease_key();
                 self.lease_call(common, StoreOp::Get { key }, now, out);
@@ -437,7 +446,7 @@
             (Phase::Checking, _) => self.not_before = retry,
             (Phase::Listing, _) if now >= self.valid_until => self.give_up(),
             (Phase::Listing, StoreReply::Values { entries, .. }) => {
-                self.list_from = now + common.config.quiet;
+                self.list_from = now + common.config.list_age;
                 self.take_office(entries, out);
             }
             (Phase::Listing, _) => self.not_before = retry,
@@ -569,20 +578,23 @@
         let Some(slot) = self.slots.get_mut(target) else {
             return;
         };
-        let settled = slot
-            .record
-            .as_ref()
-            .is_some_and(|r| r.state == IntentState::Settled && r.fence == self.fence);
-        let id = slot.record.as_ref().map(|r| r.order_id);
-        let Some((order_id, outcome)) = slot.answered.filter(|(i, _)| settled && Some(*i) == id)
+        let Some(record) = &slot.record else {
+            return;
+        };
+        let settled = record.state == IntentState::Settled && record.fence == self.fence;
+        let answered = slot.answered;
+        let Some((order_id, outcome)) =
+            answered.filter(|(id, _)| settled && *id == record.order_id)
         else {
             return;
         };
+        let order = record.order.clone();
         slot.answered = None;
         out.push(Command::Finished {
             scope: self.scope.clone(),
             target: target.to_owned(),
             order_id,
+            order,
             outcome,
         });
     }
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -6,6 +6,7 @@
 use crate::once::OnceMessage;
 use crate::quarantine::QuarantineMessage;
 use crate::settings::replica;
+use crate::usage::UsageMessage;
 
 /// A message from one vm to another. Each machine that talks to other vms has a variant.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -20,4 +21,6 @@
     Once(OnceMessage),
     /// Crash counts of requests.
     Quarantine(QuarantineMessage),
+    /// Counting of usage.
+    Usage(UsageMessage),
 }
--- a/crates/core/tests/support/order_world.rs
+++ b/crates/core/tests/support/order_world.rs
@@ -29,6 +29,10 @@
     pub(crate) seed: u64,
     pub(crate) faults: AuthorityFaults,
     pub(crate) trust_target_incarnation: bool,
+    /// Number of vms; chosen by the seed if not set.
+    pub(crate) vms: Option<u32>,
+    /// Whether orders are requested.
+    pub(crate) requests: bool,
     /// Time with faults.
     pub(crate) stormy: Duration,
     /// Time without faults afterwards, in which orders must flow again.
@@ -41,6 +45,8 @@
             seed,
             faults: AuthorityFaults::default(),
             trust_target_incarnation: false,
+            vms: None,
+            requests: true,
             stormy: Duration::from_secs(150),
             calm: Duration::from_secs(90),
         }
@@ -153,7 +159,8 @@
             rng,
             config,
         };
-        for _ in 0..world.rng.random_range(3..=6) {
+        let chosen = world.rng.random_range(3..=6);
+        for _ in 0..world.config.vms.unwrap_or(chosen) {
             world.join_new();
         }
         for item in [
@@ -369,6 +376,9 @@
     }
 
     fn request(&mut self) {
+        if !self.config.requests {
+            return;
+        }
         self.network.after(TICK, Item::Request);
         let index = self.rng.random_range(0..self.scopes.len());
         let scope = self.scopes[index].0.clone();
@@ -387,6 +397,8 @@
                 Some((i.me, fence.0))
             })
             .collect();
+        let key = (scope.clone(), target.clone());
+        let restarts = self.receivers.get(&key).map_or(0, |r| r.restarts);
         for (me, decided) in holders {
             self.next_order += 1;
             let order = TestOrder {
@@ -396,7 +408,7 @@
             let request = Event::Request {
                 scope: scope.clone(),
                 target: target.clone(),
-                target_incarnation: Incarnation(0),
+                target_incarnation: Incarnation(1 + restarts),
                 order,
             };
             self.feed(me, request);
@@ -463,8 +475,18 @@
         self.network.after(gap, Item::RestartTarget);
         let target = format!("t{}", self.rng.random_range(0..TARGETS));
         let key = (engines("unfenced"), target);
-        if let Some(receiver) = self.receivers.get_mut(&key) {
-            receiver.restart();
+        let Some(receiver) = self.receivers.get_mut(&key) else {
+            return;
+        };
+        receiver.restart();
+        let event = Event::TargetRuns {
+            scope: key.0,
+            target: key.1,
+            incarnation: Incarnation(1 + receiver.restarts),
+        };
+        let all: Vec<Holder> = self.instances.values().map(|i| i.me).collect();
+        for to in all {
+            self.feed(to, event.clone());
         }
     }
 }
--- a/crates/core/tests/support/usage_world.rs
+++ b/crates/core/tests/support/usage_world.rs
@@ -61,6 +61,8 @@
     pub(crate) reports: Vec<FrozenWindow>,
     pub(crate) kills: u64,
     pub(crate) takeovers: u64,
+    /// Frozen windows that the store holds at the end.
+    pub(crate) kept_windows: usize,
 }
 
 enum Item {
@@ -112,6 +114,7 @@
     while let Some(item) = world.network.next_before(end) {
         world.handle(item);
     }
+    world.run.kept_windows = world.store.list("usage/").len();
     world.run
 }
 
@@ -124,6 +127,7 @@
         let usage = UsageConfig {
             window: Duration::from_secs(20),
             faults: config.faults,
+            keep_windows: 3,
             ..UsageConfig::default()
         };
         let outage = Duration::from_secs(40);
@@ -309,19 +313,13 @@
                 let event = CloserEvent::NotReported(order.window);
                 self.deliver(Item::Closer(me, event));
             }
-            Command::Finished { order_id, .. } => self.finished(me, order_id),
+            Command::Finished { order, .. } => {
+                self.deliver(Item::Closer(me, CloserEvent::Reported(order.window)));
+            }
             Command::Send { .. } => self.send(me, command),
         }
     }
 
-    /// The closer of this vm waits for at most one report, which is the last one.
-    fn finished(&mut self, me: Holder, _order_id: u64) {
-        let windows: Vec<u64> = self.run.reports.iter().map(|r| r.window).collect();
-        for window in windows.into_iter().rev().take(2) {
-            self.deliver(Item::Closer(me, CloserEvent::Reported(window)));
-        }
-    }
-
     fn send(&mut self, me: Holder, command: Cmd) {
         let mut pause = Duration::ZERO;
         if !self.is_calm() && self.rng.random_bool(0.05) {
--- a/crates/jujubebeam/src/control.rs
+++ b/crates/jujubebeam/src/control.rs
@@ -1,8 +1,10 @@
 //! Control thread: keeps settings, the vm list and load reports up to date.
 
+pub(crate) mod authority;
 mod loads;
 pub(crate) mod membership;
 pub(crate) mod settings;
+pub(crate) mod usage;
 
 use std::sync::Arc;
 
@@ -15,4 +17,6 @@
     settings::start(&context);
     membership::start(&context);
     loads::start(&context);
+    authority::start(&context);
+    usage::start(&context);
 }
--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -1,13 +1,17 @@
 //! Messages to and from other vms.
 
 use jujubebeam_core::VmId;
+use jujubebeam_core::authority::{Event, Holder};
 use jujubebeam_core::peer::PeerMessage;
 use jujubebeam_peer::{Envelope, MESSAGES_PATH, RUN_PATH, decode, encode};
 use ntex::util::Bytes;
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
 use crate::context::Context;
+use crate::control::authority::Orders;
+use crate::control::usage;
 use crate::control::{membership, settings};
+use crate::part::feed;
 use crate::{caller, crashes, ledger};
 
 /// Largest body of an envelope.
@@ -75,6 +79,11 @@
 
 pub(crate) fn deliver_all(context: &Context, envelope: Envelope<PeerMessage>) -> Vec<PeerMessage> {
     let from = envelope.from;
+    let runs = Holder {
+        vm: from,
+        incarnation: envelope.incarnation,
+    };
+    feed::<Orders>(context, Event::VmRuns(runs));
     envelope
         .messages
         .into_iter()
@@ -93,5 +102,9 @@
         PeerMessage::Membership(message) => membership::deliver(context, from, message),
         PeerMessage::Once(message) => ledger::deliver(context, from, message),
         PeerMessage::Quarantine(message) => crashes::deliver(context, message),
+        PeerMessage::Usage(message) => {
+            usage::receive(context, from, message);
+            None
+        }
     }
 }
--- a/crates/jujubebeam/src/server.rs
+++ b/crates/jujubebeam/src/server.rs
@@ -66,6 +66,7 @@
     invariant::check(Invariant::GracefulShutdownCutsNothing, running == 0, || {
         format!("{running} requests still ran when the listener had stopped")
     });
+    control::authority::shut_down(&context).await;
     peer_server.stop(true).await;
     Ok(())
 }
