Give the stand-ins faults, records and a load tool

The stand-ins answered only the calls of one request and had no faults. The store now has leases, watches, compaction, rate limits and call counts; ordering, usage reports and the weight store are added; engines batch continuously with a prefix cache, orders, KV transfer and resume; plain services record executions per idempotency key. Faults and records are JSON under /standin/. The load tool checks every answer against the text that its prompt determines.

--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -5,16 +5,21 @@
 
 use pico_args::Arguments;
 
-use crate::{engine, platform, service, up};
+use crate::{echo, engine, fault_cli, load, overhead, platform, service, up};
 
 const HELP: &str = "\
 jujubebeam-standin: stand-ins for the systems around jujubebeam
 
 USAGE:
     jujubebeam-standin up [--once] [--base-port PORT]
-    jujubebeam-standin platform --address IP:PORT --vms FILE
+    jujubebeam-standin platform --address IP:PORT --vms FILE [--targets FILE]
     jujubebeam-standin engine --address IP:PORT --model MODEL
-    jujubebeam-standin service --address IP:PORT --name NAME
+    jujubebeam-standin service --address IP:PORT --name NAME [--journal FILE]
+    jujubebeam-standin fault --address IP:PORT [--clear] [--records] [NAME=VALUE]...
+    jujubebeam-standin load [--address URL|ask] [--entry URL,URL] [--key KEY] [--rate N]
+                            [--concurrency N] [--seconds N] [--requests N]
+                            [--mix chat|checkout|mixed] [--seed N] [--output table|json]
+    jujubebeam-standin overhead [--seed N] [--seconds N]
     jujubebeam-standin vm ARGUMENTS OF jujubebeam
 
 COMMANDS:
@@ -22,6 +27,9 @@
     platform    Runs the store, vm list, ordering, usage and weight store.
     engine      Runs one inference engine.
     service     Runs one plain service.
+    fault       Shows or sets the faults of a running stand-in, or shows its records.
+    load        Sends requests, checks every answer and prints latencies.
+    overhead    Measures what one vm adds to a direct call.
     vm          Runs the jujubebeam daemon or client.
 
 OPTIONS:
@@ -62,7 +70,8 @@
         "platform" => {
             let address: SocketAddr = required(&mut args, "--address")?;
             let vms: String = required(&mut args, "--vms")?;
-            platform::run(address, &vms)
+            let targets: Option<String> = optional(&mut args, "--targets")?;
+            platform::run(address, &vms, targets.as_deref())
         }
         "engine" => {
             let address: SocketAddr = required(&mut args, "--address")?;
@@ -72,8 +81,13 @@
         "service" => {
             let address: SocketAddr = required(&mut args, "--address")?;
             let name: String = required(&mut args, "--name")?;
-            service::run(address, name)
+            let journal: Option<String> = optional(&mut args, "--journal")?;
+            service::run(address, name, journal.as_deref())
         }
+        "echo" => echo::run(required(&mut args, "--address")?),
+        "fault" => fault_cli::run(args),
+        "load" => load::run(args),
+        "overhead" => overhead::run(args),
         other => Err(format!("unknown command {other:?}; see `--help`")),
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,171 +1,265 @@
 //! An inference engine that generates a fixed text for each prompt.
 
+mod answer;
+mod batch;
+mod cache;
+mod config;
+mod kv;
+mod load;
+mod orders;
+mod records;
+
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
-
-use futures_util::stream;
-use jujubebeam_caller::{
-    ChatAnswer, ChatChoice, ChatChunk, ChatDelta, ChatMessage, ChunkChoice, SSE_DONE, Usage,
-    headers,
-};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use jujubebeam_caller::headers;
 use jujubebeam_core::Incarnation;
-use jujubebeam_core::targets::{LoadReport, LoadedModel};
-use jujubebeam_engine::{EngineRequest, paths};
-use ntex::time::{Millis, sleep};
-use ntex::util::Bytes;
-use ntex::web::{self, HttpResponse, ServiceConfig};
-use smallvec::smallvec;
+use jujubebeam_core::targets::Order;
+use jujubebeam_engine::{CancelRequest, EngineAnswer, EngineRequest, paths};
+use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
+use serde_json::{Value, json};
+use tokio::sync::{Notify, mpsc};
+
+use crate::control::{self, Controlled, lock};
+use crate::text;
+use answer::Answer;
+use batch::{Batch, Sequence};
+use cache::PrefixCache;
+use config::{EngineConfig, EngineFaults};
+use kv::KvCaches;
+use load::Samples;
+use orders::{CRASH_EXIT_CODE, Orders};
+use records::Records;
+pub(crate) use records::has_caller_key;
 
-const TOKEN_INTERVAL: Millis = Millis(10);
-const DEFAULT_OUTPUT_TOKENS: u32 = 12;
+/// Length of an answer without `max_tokens`.
+pub(crate) const DEFAULT_OUTPUT_TOKENS: u32 = 12;
 
 struct Engine {
-    model: String,
+    config: EngineConfig,
     incarnation: Incarnation,
-    running: AtomicU32,
+    faults: Mutex<EngineFaults>,
+    orders: Mutex<Orders>,
+    batch: Mutex<Batch>,
+    cache: Mutex<PrefixCache>,
+    kv: Mutex<KvCaches>,
+    samples: Mutex<Samples>,
+    records: Mutex<Records>,
+    arrived: Notify,
 }
 
 type EngineState = web::types::State<Arc<Engine>>;
 
+impl Controlled for Engine {
+    type Faults = EngineFaults;
+
+    fn faults(&self) -> &Mutex<EngineFaults> {
+        &self.faults
+    }
+
+    fn records(&self) -> Value {
+        json!(&*lock(&self.records))
+    }
+
+    fn faults_changed(&self) {
+        if lock(&self.faults).exit {
+            std::process::exit(CRASH_EXIT_CODE);
+        }
+        self.sample_load();
+    }
+}
+
 /// Runs an engine until the process is stopped.
 pub(crate) fn run(address: SocketAddr, model: String) -> Result<(), String> {
+    let config = EngineConfig::default();
     let engine = Engine {
-        model,
-        incarnation: Incarnation(u64::from(std::process::id())),
-        running: AtomicU32::new(0),
+        config,
+        incarnation: new_incarnation(),
+        faults: Mutex::default(),
+        orders: Mutex::new(Orders::new(model)),
+        batch: Mutex::default(),
+        cache: Mutex::new(PrefixCache::new(config.cache_pieces)),
+        kv: Mutex::default(),
+        samples: Mutex::default(),
+        records: Mutex::default(),
+        arrived: Notify::new(),
     };
-    crate::serve::run(address, Arc::new(engine), configure)
+    engine.sample_load();
+    crate::serve::run(address, Arc::new(engine), configure, step_loop)
+}
+
+/// Later runs get higher numbers.
+pub(crate) fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    Incarnation(since_epoch.unwrap_or_default().as_micros() as u64)
 }
 
 fn configure(config: &mut ServiceConfig) {
+    control::configure::<Engine>(config);
     config
         .route(paths::CHAT, web::post().to(chat))
-        .route(paths::LOAD, web::get().to(load));
+        .route(paths::LOAD, web::get().to(load::read))
+        .route(paths::CACHE_EVENTS, web::get().to(cache_events))
+        .route(paths::ORDERS, web::post().to(orders::take))
+        .route(paths::CANCEL, web::post().to(cancel))
+        .route(paths::KV_EXPORT, web::post().to(kv::export))
+        .route(paths::KV_IMPORT, web::post().to(kv::import))
+        .route(kv::EXPORTED_PATH, web::get().to(kv::exported));
 }
 
-async fn load(engine: EngineState) -> HttpResponse {
-    HttpResponse::Ok().json(&LoadReport {
-        incarnation: engine.incarnation,
-        models: smallvec![LoadedModel {
-            model: engine.model.clone(),
-            version: "1".into(),
-            adapters: smallvec![],
-        }],
-        running_requests: engine.running.load(Ordering::Relaxed),
-        ..LoadReport::default()
-    })
-}
-
-async fn chat(engine: EngineState, request: web::types::Json<EngineRequest>) -> HttpResponse {
-    let request = request.into_inner();
-    let answer = Answer::new(&engine, &request);
-    let mut builder = HttpResponse::Ok();
-    builder.header(headers::ATTEMPT, request.attempt_id.as_str());
-    if request.chat.stream {
-        builder.content_type("text/event-stream");
-        return builder.streaming(Box::pin(answer.into_stream()));
+impl Engine {
+    /// Starts an order and returns how many requests it cut.
+    fn begin_order(&self, order: &Order) -> usize {
+        if !matches!(order, Order::SetRole { .. }) {
+            return 0;
+        }
+        let cut = std::mem::take(&mut *lock(&self.batch));
+        self.sample_load();
+        cut.running.len() + cut.waiting.len()
     }
-    sleep(Millis(TOKEN_INTERVAL.0 * answer.total)).await;
-    builder.json(&answer.into_whole())
-}
-
-struct Answer {
-    engine: Arc<Engine>,
-    id: String,
-    prompt_tokens: u64,
-    total: u32,
-    sent: u32,
-}
 
-impl Drop for Answer {
-    fn drop(&mut self) {
-        self.engine.running.fetch_sub(1, Ordering::Relaxed);
+    fn serves(&self, model: &str) -> bool {
+        let orders = lock(&self.orders);
+        !orders.is_away() && orders.models.iter().any(|m| m.model == model)
     }
-}
 
-impl Answer {
-    fn new(engine: &EngineState, request: &EngineRequest) -> Self {
-        engine.running.fetch_add(1, Ordering::Relaxed);
-        let prompt_tokens = request
-            .chat
-            .messages
-            .iter()
-            .map(|m| m.content.split_whitespace().count() as u64)
-            .sum();
-        Self {
-            engine: Arc::clone(engine),
-            id: request.attempt_id.clone(),
+    /// Takes a request into the queue.
+    fn enqueue(self: &Arc<Self>, request: EngineRequest) -> Answer {
+        let (sender, output) = mpsc::unbounded_channel();
+        let messages = &request.chat.messages;
+        let prompt_tokens = text::prompt_tokens(messages);
+        let resume = request.resume.unwrap_or_default();
+        let handle = resume.kv_handle.as_deref();
+        let imported = handle
+            .and_then(|h| lock(&self.kv).take_imported(h))
+            .is_some();
+        let delivered = resume.delivered_tokens;
+        let max_tokens = request.chat.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS);
+        let total = u64::from(max_tokens);
+        let answer = Answer {
+            engine: Arc::clone(self),
+            model: request.chat.model.clone(),
+            attempt: request.attempt_id.clone(),
+            prompt_hash: text::prompt_hash(messages),
             prompt_tokens,
-            total: request.chat.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
-            sent: request
-                .resume
-                .as_ref()
-                .map_or(0, |r| r.delivered_tokens as u32),
-        }
+            total,
+            output,
+            sent: 0,
+        };
+        lock(&self.batch).waiting.push(Sequence {
+            attempt: request.attempt_id,
+            priority: request.priority,
+            prompt_tokens,
+            pieces: text::piece_hashes(messages),
+            to_prefill: if imported {
+                0
+            } else {
+                prompt_tokens + delivered
+            },
+            imported,
+            next: delivered,
+            total,
+            output: sender,
+        });
+        self.sample_load();
+        self.arrived.notify_one();
+        answer
     }
 
-    fn usage(&self) -> Usage {
-        Usage {
-            prompt_tokens: self.prompt_tokens,
-            completion_tokens: u64::from(self.total),
-            total_tokens: self.prompt_tokens + u64::from(self.total),
-        }
+    fn record_attempt(&self, http: &HttpRequest, request: &EngineRequest) {
+        let mut records = lock(&self.records);
+        let record = records.attempt(&request.attempt_id);
+        record.executions += 1;
+        record.prompt_hash = text::prompt_hash(&request.chat.messages);
+        record.resumed_at = request.resume.as_ref().map_or(0, |r| r.delivered_tokens);
+        record.saw_caller_key |= has_caller_key(http.headers());
     }
 
-    fn into_stream(self) -> impl stream::Stream<Item = Result<Bytes, std::io::Error>> {
-        stream::unfold(Some(self), async |state| {
-            let mut answer = state?;
-            sleep(TOKEN_INTERVAL).await;
-            if answer.sent == answer.total {
-                let mut text = event(&answer.chunk(None, true));
-                text.push_str(&format!("data: {SSE_DONE}\n\n"));
-                return Some((Ok(Bytes::from(text)), None));
-            }
-            let token = token(answer.sent);
-            answer.sent += 1;
-            let text = event(&answer.chunk(Some(token), false));
-            Some((Ok(Bytes::from(text)), Some(answer)))
-        })
+    fn is_poisonous(&self, request: &EngineRequest) -> bool {
+        let poison = lock(&self.faults).poison.clone();
+        let found = |text: &str| text.contains(&poison);
+        !poison.is_empty() && request.chat.messages.iter().any(|m| found(&m.content))
     }
 
-    fn chunk(&self, content: Option<String>, last: bool) -> ChatChunk {
-        ChatChunk {
-            id: self.id.clone(),
-            object: "chat.completion.chunk".into(),
-            model: self.engine.model.clone(),
-            choices: vec![ChunkChoice {
-                index: 0,
-                delta: ChatDelta { content },
-                finish_reason: last.then(|| "stop".into()),
-            }],
-            usage: last.then(|| self.usage()),
+    /// The attempt id to echo, which is a wrong one if such a fault is set.
+    fn echo(&self, attempt: &str) -> String {
+        let faults = &mut lock(&self.faults);
+        if faults.crossed_answers == 0 {
+            return attempt.to_owned();
         }
+        faults.crossed_answers -= 1;
+        format!("{attempt}-crossed")
     }
+}
 
-    fn into_whole(self) -> ChatAnswer {
-        ChatAnswer {
-            id: self.id.clone(),
-            object: "chat.completion".into(),
-            model: self.engine.model.clone(),
-            choices: vec![ChatChoice {
-                index: 0,
-                message: ChatMessage {
-                    role: "assistant".into(),
-                    content: (self.sent..self.total).map(token).collect(),
-                },
-                finish_reason: "stop".into(),
-            }],
-            usage: self.usage(),
-        }
+async fn step_loop(engine: Arc<Engine>) {
+    loop {
+        let time = {
+            let mut batch = lock(&engine.batch);
+            batch.admit(&engine.config, &mut lock(&engine.cache));
+            (!batch.is_empty()).then(|| batch.step_time(&engine.config))
+        };
+        let Some(time) = time else {
+            engine.arrived.notified().await;
+            continue;
+        };
+        let slow_factor = lock(&engine.faults).slow_factor.max(1) as u32;
+        tokio::time::sleep(time * slow_factor).await;
+        lock(&engine.batch).step(time, &engine.config, &mut lock(&engine.cache));
+        engine.sample_load();
     }
 }
 
-fn token(position: u32) -> String {
-    format!("stitch{position} ")
+async fn chat(
+    engine: EngineState,
+    http: HttpRequest,
+    request: web::types::Json<EngineRequest>,
+) -> HttpResponse {
+    let request = request.into_inner();
+    engine.record_attempt(&http, &request);
+    if !engine.serves(&request.chat.model) {
+        lock(&engine.records).refused += 1;
+        return HttpResponse::ServiceUnavailable().json(&json!({"error": "not serving"}));
+    }
+    if engine.is_poisonous(&request) {
+        // The request reaches the device with the next step.
+        tokio::time::sleep(Duration::from_micros(engine.config.step_us)).await;
+        std::process::exit(CRASH_EXIT_CODE);
+    }
+    let streamed = request.chat.stream;
+    let echo = engine.echo(&request.attempt_id);
+    let answer = engine.enqueue(request);
+    if streamed {
+        return HttpResponse::Ok()
+            .header(headers::ATTEMPT, echo)
+            .content_type("text/event-stream")
+            .streaming(Box::pin(answer.into_stream()));
+    }
+    match answer.whole().await {
+        Ok(whole) => HttpResponse::Ok()
+            .header(headers::ATTEMPT, echo)
+            .json(&whole),
+        Err(cut) => cut,
+    }
+}
+
+async fn cache_events(engine: EngineState, http: HttpRequest) -> HttpResponse {
+    let after = http.query_string().strip_prefix("after=");
+    let after = after.and_then(|v| v.parse().ok()).unwrap_or(0);
+    let faults = lock(&engine.faults).clone();
+    let lag = Duration::from_millis(faults.cache_event_lag_ms);
+    let events = lock(&engine.cache).events_after(after, lag, faults.cache_event_gap);
+    HttpResponse::Ok().json(&events)
 }
 
-fn event(chunk: &ChatChunk) -> String {
-    let json = serde_json::to_string(chunk).unwrap_or_default();
-    format!("data: {json}\n\n")
+async fn cancel(engine: EngineState, request: web::types::Json<CancelRequest>) -> HttpResponse {
+    let removed = lock(&engine.batch).remove(&request.attempt_id);
+    let done = removed.is_some();
+    if done {
+        let cancelled = request.attempt_id.clone();
+        lock(&engine.records).cancelled.push(cancelled);
+        engine.sample_load();
+    }
+    HttpResponse::Ok().json(&EngineAnswer { done })
 }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,10 +1,16 @@
 //! Stand-ins for the systems around jujubebeam, for trying it out and for tests.
 
 mod cli;
+mod control;
+mod echo;
 mod engine;
+mod fault_cli;
+mod load;
+mod overhead;
 mod platform;
 mod serve;
 mod service;
+mod text;
 mod up;
 
 use std::process::ExitCode;
--- /dev/null
+++ b/crates/standin/src/overhead.rs
@@ -0,0 +1,205 @@
+//! Measures what one vm adds to a direct call of its target.
+
+mod drive;
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Duration;
+
+use jujubebeam_core::VmId;
+use jujubebeam_core::settings::KeyHash;
+use jujubebeam_vmlist::{ListedState, ListedVm, VmList};
+use pico_args::Arguments;
+
+use crate::up::example::KEY;
+use crate::up::processes::Processes;
+use crate::up::{wait_until, write_settings};
+use drive::{Drive, Measured};
+
+/// Connections of the closed loop; enough to keep one worker busy.
+const CONNECTIONS: usize = 32;
+const READY_PATH: &str = "/echo/stock";
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// Runs `overhead --seed N [--seconds N]` and prints a table.
+pub(crate) fn run(mut args: Arguments) -> Result<(), String> {
+    let option = |args: &mut Arguments, name| {
+        let value: Result<Option<u64>, _> = args.opt_value_from_str(name);
+        value.map_err(|e| e.to_string())
+    };
+    let seed = option(&mut args, "--seed")?.unwrap_or(1);
+    let seconds = option(&mut args, "--seconds")?.unwrap_or(5);
+    let mut processes = Processes::default();
+    let result = measure(&mut processes, seed, Duration::from_secs(seconds));
+    processes.stop();
+    print!("{}", result?);
+    Ok(())
+}
+
+/// Addresses of the four processes.
+struct Layout {
+    platform: SocketAddr,
+    echo: SocketAddr,
+    caller: SocketAddr,
+    peer: SocketAddr,
+}
+
+impl Layout {
+    fn new() -> Result<Self, String> {
+        let mut held = Vec::new();
+        let mut address = || {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+            let address = listener.local_addr()?;
+            held.push(listener);
+            Ok(address)
+        };
+        let mut next = || address().map_err(|e: std::io::Error| e.to_string());
+        Ok(Self {
+            platform: next()?,
+            echo: next()?,
+            caller: next()?,
+            peer: next()?,
+        })
+    }
+
+    fn vm_list(&self) -> VmList {
+        VmList {
+            vms: vec![ListedVm {
+                vm: VmId(1),
+                zone: "brest".into(),
+                caller_address: self.caller.to_string(),
+                peer_address: self.peer.to_string(),
+                state: ListedState::Live,
+            }],
+        }
+    }
+
+    fn process_settings(&self) -> String {
+        let Self {
+            platform,
+            caller,
+            peer,
+            ..
+        } = self;
+        format!(
+            "vm: 1\nzone: brest\ncaller_address: {caller}\npeer_address: {peer}\nworkers: 1\n\
+             platform: {{store: \"{platform}\", vm_list: \"{platform}\", \
+             ordering: \"{platform}\", usage: \"{platform}\", weights: \"{platform}\"}}\n"
+        )
+    }
+
+    fn settings(&self) -> Vec<(String, String)> {
+        let fleet = format!(
+            "zones: [brest]\nroutes:\n  - {{name: echo, kind: service, path_prefix: /echo, \
+             group: echo}}\ngroups:\n  - name: echo\n    kind: service\n    targets:\n      \
+             - {{name: echo-1, address: \"{}\", zone: brest}}\n",
+            self.echo
+        );
+        let team = format!(
+            "workspaces:\n  - name: kits-north\n    keys:\n      \
+             - {{name: first, sha256: {}}}\n",
+            KeyHash::of_key(KEY).to_hex()
+        );
+        let team_key = format!("{}north", jujubebeam_operator::TEAMS_PREFIX);
+        vec![
+            (jujubebeam_operator::FLEET_KEY.into(), fleet),
+            (team_key, team),
+        ]
+    }
+}
+
+fn measure(processes: &mut Processes, seed: u64, time: Duration) -> Result<String, String> {
+    let layout = Layout::new()?;
+    let vm_process = start(processes, &layout)?;
+    bring_up(&layout)?;
+    let vm = format!("http://{}{READY_PATH}", layout.caller);
+    let direct = format!("http://{}{READY_PATH}", layout.echo);
+    drive::closed(&vm, CONNECTIONS, WARM_UP);
+    let cpu_before = cpu_seconds(vm_process)?;
+    let full = drive::closed(&vm, CONNECTIONS, time);
+    let cpu = cpu_seconds(vm_process)? - cpu_before;
+    let rate = full.per_s() / 2.0;
+    let paced = |url: &str, seed| {
+        drive::open(&Drive {
+            url: url.to_owned(),
+            rate,
+            time,
+            seed,
+        })
+    };
+    let by_vm = paced(&vm, seed);
+    let by_itself = paced(&direct, seed);
+    Ok(table(&full, cpu, rate, &by_vm, &by_itself))
+}
+
+fn start(processes: &mut Processes, layout: &Layout) -> Result<u32, String> {
+    let directory = processes.create_directory()?;
+    let vms = directory.join("vms.json");
+    let list = serde_json::to_vec(&layout.vm_list()).map_err(|e| e.to_string())?;
+    fs::write(&vms, list).map_err(|e| e.to_string())?;
+    let config = directory.join("vm-1.yaml");
+    fs::write(&config, layout.process_settings()).map_err(|e| e.to_string())?;
+    let (platform, echo) = (layout.platform.to_string(), layout.echo.to_string());
+    let vms = vms.to_string_lossy();
+    processes.start(&["platform", "--address", &platform, "--vms", &vms])?;
+    processes.start(&["echo", "--address", &echo])?;
+    processes.start(&["vm", "run", "--config", &config.to_string_lossy()])
+}
+
+fn bring_up(layout: &Layout) -> Result<(), String> {
+    let (platform, caller) = (layout.platform, layout.caller);
+    let settings = layout.settings();
+    let system = ntex::rt::System::build()
+        .name("overhead")
+        .build(ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        let client = jujubebeam_http::build_client(Default::default()).await;
+        wait_until(&client, platform, "/vms").await?;
+        write_settings(&client, platform, settings).await?;
+        wait_until(&client, caller, READY_PATH).await
+    })
+}
+
+/// CPU time of a process so far, from `/proc`.
+fn cpu_seconds(process: u32) -> Result<f64, String> {
+    /// Linux reports times to user space in units of 1/100 s.
+    const TICKS_PER_S: f64 = 100.0;
+    let path = format!("/proc/{process}/stat");
+    let text = fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+    // The second field is the program's name in parentheses and may contain spaces.
+    let fields = text.rsplit_once(") ").map_or("", |(_, rest)| rest);
+    let ticks = fields.split(' ').skip(11).take(2);
+    let ticks: f64 = ticks.filter_map(|t| t.parse::<f64>().ok()).sum();
+    Ok(ticks / TICKS_PER_S)
+}
+
+fn table(full: &Measured, cpu: f64, rate: f64, vm: &Measured, direct: &Measured) -> String {
+    let quantiles = |m: &Measured| (m.times.quantile_ms(0.5), m.times.quantile_ms(0.99));
+    let ((vm50, vm99), (direct50, direct99)) = (quantiles(vm), quantiles(direct));
+    let mut text = format!(
+        "full load, one worker, {CONNECTIONS} connections: {:.0} requests/s, {:.2} cores used, \
+         {:.0} requests/s per core, {} errors\n",
+        full.per_s(),
+        cpu / full.elapsed.as_secs_f64(),
+        full.times.count() as f64 / cpu.max(0.01),
+        full.errors
+    );
+    text.push_str(&format!("half load, {rate:.0} requests/s offered:\n"));
+    text.push_str(&format!(
+        "{:<12}{:>10}{:>10}{:>10}{:>8}\n",
+        "path", "count", "p50 ms", "p99 ms", "errors"
+    ));
+    for (name, measured) in [("direct", direct), ("through vm", vm)] {
+        let (p50, p99) = quantiles(measured);
+        let (count, errors) = (measured.times.count(), measured.errors);
+        text.push_str(&format!(
+            "{name:<12}{count:>10}{p50:>10.3}{p99:>10.3}{errors:>8}\n"
+        ));
+    }
+    let (add50, add99) = (vm50 - direct50, vm99 - direct99);
+    text.push_str(&format!(
+        "{:<12}{:>10}{add50:>10.3}{add99:>10.3}\n",
+        "added", ""
+    ));
+    text
+}
--- a/crates/standin/src/up.rs
+++ b/crates/standin/src/up.rs
@@ -1,7 +1,7 @@
 //! Brings up stand-ins and six vms on loopback.
 
-mod example;
-mod processes;
+pub(crate) mod example;
+pub(crate) mod processes;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -12,6 +12,7 @@
 use jujubebeam_store::{StoreClient, StoreClientConfig};
 use ntex::client::Client;
 use ntex::time::{Millis, sleep};
+use tokio::signal::unix::{SignalKind, signal};
 
 use example::Layout;
 use processes::Processes;
@@ -27,17 +28,30 @@
         .build(ntex::rt::DefaultRuntime);
     system.block_on(async move {
         let mut processes = Processes::default();
-        let result = bring_up(&layout, &mut processes, once).await;
+        let result = tokio::select! {
+            result = bring_up(&layout, &mut processes, once) => result,
+            result = stop_signal() => result,
+        };
         processes.stop();
         result
     })
 }
 
+async fn stop_signal() -> Result<(), String> {
+    let listen = |kind| signal(kind).map_err(|e| e.to_string());
+    let mut interrupt = listen(SignalKind::interrupt())?;
+    let mut terminate = listen(SignalKind::terminate())?;
+    tokio::select! {
+        _ = interrupt.recv() => Ok(()),
+        _ = terminate.recv() => Ok(()),
+    }
+}
+
 async fn bring_up(layout: &Layout, processes: &mut Processes, once: bool) -> Result<(), String> {
     processes.start_all(layout)?;
     let client = build_client(HttpClientConfig::default()).await;
     wait_until(&client, layout.platform, "/vms").await?;
-    write_settings(&client, layout).await?;
+    write_settings(&client, layout.platform, layout.settings()).await?;
     for vm in &layout.vms {
         wait_until(&client, vm.caller, "/readyz").await?;
     }
@@ -45,13 +59,15 @@
         return serve_once(&client, layout).await;
     }
     print!("{}", layout.instructions());
-    ntex::rt::signals::signal()
-        .await
-        .map(|_| ())
-        .map_err(|_| "the signal handler ended".to_owned())
+    std::future::pending().await
 }
 
-async fn wait_until(client: &Client, address: SocketAddr, path: &str) -> Result<(), String> {
+/// Waits until a path answers with success.
+pub(crate) async fn wait_until(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Result<(), String> {
     let deadline = Instant::now() + READY_TIMEOUT;
     while Instant::now() < deadline {
         let answer = client.get(format!("http://{address}{path}")).send().await;
@@ -63,13 +79,18 @@
     Err(format!("http://{address}{path} was not ready in time"))
 }
 
-async fn write_settings(client: &Client, layout: &Layout) -> Result<(), String> {
+/// Writes settings subtrees into the store.
+pub(crate) async fn write_settings(
+    client: &Client,
+    platform: SocketAddr,
+    settings: Vec<(String, String)>,
+) -> Result<(), String> {
     let store = StoreClient::new(
         client.clone(),
-        &layout.platform.to_string(),
+        &platform.to_string(),
         StoreClientConfig::default(),
     );
-    for (key, text) in layout.settings() {
+    for (key, text) in settings {
         let reply = store
             .perform(StoreOp::Cas {
                 key: key.clone(),
--- a/crates/standin/src/up/example.rs
+++ b/crates/standin/src/up/example.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use crate::platform::{Spare, TargetFile};
 use jujubebeam_core::VmId;
 use jujubebeam_core::settings::KeyHash;
 use jujubebeam_vmlist::{ListedState, ListedVm, VmList};
@@ -19,6 +20,10 @@
 const VMS: usize = 6;
 const ENGINES: usize = 10;
 const SERVICES: usize = 3;
+/// One per zone.
+const SPARES: usize = 3;
+/// Price class of targets that can be ordered.
+const SPARE_CLASS: &str = "spot";
 
 /// A vm of the example.
 pub(crate) struct Vm {
@@ -52,6 +57,8 @@
     pub(crate) engines: Vec<Target>,
     /// The plain services.
     pub(crate) services: Vec<Target>,
+    /// Engines that can be ordered.
+    pub(crate) spares: Vec<Target>,
 }
 
 impl Layout {
@@ -86,6 +93,7 @@
             vms,
             engines: targets("advice", ENGINES),
             services: targets("checkout", SERVICES),
+            spares: targets("spare", SPARES),
         }
     }
 
@@ -101,6 +109,19 @@
         VmList { vms: vms.collect() }
     }
 
+    /// Targets that can be ordered. Those that always exist are named in the settings.
+    pub(crate) fn target_file(&self) -> TargetFile {
+        let spares = self.spares.iter().map(|spare| Spare {
+            address: spare.address.to_string(),
+            zone: spare.zone.into(),
+            class: SPARE_CLASS.into(),
+        });
+        TargetFile {
+            targets: Vec::new(),
+            spares: spares.collect(),
+        }
+    }
+
     /// Settings subtrees as pairs of store key and YAML text.
     pub(crate) fn settings(&self) -> Vec<(String, String)> {
         vec![
@@ -151,6 +172,10 @@
         text.push_str("groups:\n");
         push_group(&mut text, "advice", "engine", &self.engines);
         push_group(&mut text, "checkout", "service", &self.services);
+        text.push_str(&format!(
+            "ordering:\n  checks_fencing: true\n  classes:\n    - {{name: {SPARE_CLASS}, \
+             price_cents_per_hour: 90, reclaimable: true, start_s: 3}}\n"
+        ));
         text
     }
 }
--- a/crates/standin/src/up/processes.rs
+++ b/crates/standin/src/up/processes.rs
@@ -16,20 +16,23 @@
 impl Processes {
     /// Starts the platform, all targets and all vms.
     pub(crate) fn start_all(&mut self, layout: &Layout) -> Result<(), String> {
-        let directory = env::temp_dir().join(format!("jujubebeam-up-{}", process::id()));
-        fs::create_dir_all(&directory).map_err(|e| e.to_string())?;
-        self.directory = Some(directory.clone());
+        let directory = self.create_directory()?;
         let vms = directory.join("vms.json");
         let list = serde_json::to_vec(&layout.vm_list()).map_err(|e| e.to_string())?;
         fs::write(&vms, list).map_err(|e| e.to_string())?;
+        let targets = directory.join("targets.json");
+        let list = serde_json::to_vec(&layout.target_file()).map_err(|e| e.to_string())?;
+        fs::write(&targets, list).map_err(|e| e.to_string())?;
         self.start(&[
             "platform",
             "--address",
             &layout.platform.to_string(),
             "--vms",
             &vms.to_string_lossy(),
+            "--targets",
+            &targets.to_string_lossy(),
         ])?;
-        for engine in &layout.engines {
+        for engine in layout.engines.iter().chain(&layout.spares) {
             let address = engine.address.to_string();
             self.start(&["engine", "--address", &address, "--model", MODEL])?;
         }
@@ -45,15 +48,25 @@
         Ok(())
     }
 
-    fn start(&mut self, arguments: &[&str]) -> Result<(), String> {
+    /// Creates a directory for the files of the processes.
+    pub(crate) fn create_directory(&mut self) -> Result<PathBuf, String> {
+        let directory = env::temp_dir().join(format!("jujubebeam-up-{}", process::id()));
+        fs::create_dir_all(&directory).map_err(|e| e.to_string())?;
+        self.directory = Some(directory.clone());
+        Ok(directory)
+    }
+
+    /// Starts a process of this program and returns its id.
+    pub(crate) fn start(&mut self, arguments: &[&str]) -> Result<u32, String> {
         let program = env::current_exe().map_err(|e| e.to_string())?;
         let child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
             .spawn()
             .map_err(|e| format!("{}: {e}", arguments.join(" ")))?;
+        let id = child.id();
         self.children.push(child);
-        Ok(())
+        Ok(id)
     }
 
     /// Stops all processes and removes their files.
