Test a fleet of real processes under faults

The harness starts a fleet on a free block of ports, signals its own processes by id and sets faults. With one block for all fleets of a test process the first run failed, because fleets shared ports; each fleet now searches from its own place.

The overhead command did not end in a trial run; its requests now have a time limit.

--- a/crates/standin/src/overhead.rs
+++ b/crates/standin/src/overhead.rs
@@ -18,8 +18,9 @@
 
 /// Connections of the closed loop; enough to keep one worker busy.
 const CONNECTIONS: usize = 32;
-const READY_PATH: &str = "/echo/stock";
-const WARM_UP: Duration = Duration::from_secs(1);
+const ECHO_PATH: &str = "/echo/stock";
+/// A ready vm reads the target's first load report within half a second.
+const WARM_UP: Duration = Duration::from_secs(2);
 
 /// Runs `overhead --seed N [--seconds N]` and prints a table.
 pub(crate) fn run(mut args: Arguments) -> Result<(), String> {
@@ -112,8 +113,8 @@
     let layout = Layout::new()?;
     let vm_process = start(processes, &layout)?;
     bring_up(&layout)?;
-    let vm = format!("http://{}{READY_PATH}", layout.caller);
-    let direct = format!("http://{}{READY_PATH}", layout.echo);
+    let vm = format!("http://{}{ECHO_PATH}", layout.caller);
+    let direct = format!("http://{}{ECHO_PATH}", layout.echo);
     drive::closed(&vm, CONNECTIONS, WARM_UP);
     let cpu_before = cpu_seconds(vm_process)?;
     let full = drive::closed(&vm, CONNECTIONS, time);
@@ -156,7 +157,7 @@
         let client = jujubebeam_http::build_client(Default::default()).await;
         wait_until(&client, platform, "/vms").await?;
         write_settings(&client, platform, settings).await?;
-        wait_until(&client, caller, READY_PATH).await
+        wait_until(&client, caller, "/readyz").await
     })
 }
 
--- a/crates/standin/src/overhead/drive.rs
+++ b/crates/standin/src/overhead/drive.rs
@@ -16,6 +16,9 @@
 /// Threads that send. One thread cannot keep a vm's worker busy.
 const THREADS: usize = 3;
 
+/// Time after which an unanswered request counts as failed.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A run in an open loop.
 #[derive(Clone)]
 pub(crate) struct Drive {
@@ -103,10 +106,14 @@
         let started = Instant::now();
         let request = self.client.get(url);
         let request = request.header("authorization", format!("Bearer {KEY}"));
-        let whole = match request.send().await {
-            Ok(response) if response.status().is_success() => response.body().await.is_ok(),
-            _ => false,
+        let exchange = async {
+            match request.send().await {
+                Ok(response) if response.status().is_success() => response.body().await.is_ok(),
+                _ => false,
+            }
         };
+        let whole = tokio::time::timeout(REQUEST_TIMEOUT, exchange).await;
+        let whole = whole.unwrap_or(false);
         let mut measured = self.measured.borrow_mut();
         if whole {
             measured.times.record(started.elapsed());
--- /dev/null
+++ b/crates/standin/tests/support/mod.rs
@@ -0,0 +1,229 @@
+//! Starts a fleet of real processes on free ports and handles its faults.
+
+#![allow(dead_code)] // Each test file uses a part.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+use std::{fs, thread};
+
+pub(crate) const KEY: &str = "jbk-example-kits-north";
+const BINARY: &str = env!("CARGO_BIN_EXE_jujubebeam-standin");
+const PORTS: u16 = 32;
+/// Guards against hanging; no verdict depends on it.
+const GUARD: Duration = Duration::from_secs(60);
+const VMS: u16 = 6;
+const ENGINES: u16 = 10;
+const SERVICES: u16 = 3;
+
+/// A fleet started by `up`. Dropping it stops all of its processes.
+pub(crate) struct Fleet {
+    up: Child,
+    base: u16,
+}
+
+/// An answer with its status, 0 if the connection failed, and its body as it was sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) text: String,
+}
+
+impl Fleet {
+    pub(crate) fn start() -> Self {
+        let (base, block) = free_block();
+        drop(block);
+        let up = Command::new(BINARY)
+            .args(["up", "--base-port", &base.to_string()])
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the stand-in binary starts");
+        let fleet = Self { up, base };
+        for vm in 0..VMS {
+            // A vm may be ready before it has heard from all targets.
+            let mut last = None;
+            until(|| {
+                let answer = fleet.chat(vm, "ready", 1);
+                let whole = answer.is_whole();
+                if !whole && last.replace(answer.status) != Some(answer.status) {
+                    eprintln!("vm {vm}: {answer:?}");
+                }
+                whole
+            });
+        }
+        fleet
+    }
+
+    pub(crate) fn vm(&self, i: u16) -> u16 {
+        self.base + 1 + 2 * i
+    }
+
+    pub(crate) fn engines(&self) -> Vec<u16> {
+        let first = self.base + 1 + 2 * VMS;
+        (first..first + ENGINES).collect()
+    }
+
+    pub(crate) fn services(&self) -> Vec<u16> {
+        let first = self.base + 1 + 2 * VMS + ENGINES;
+        (first..first + SERVICES).collect()
+    }
+
+    pub(crate) fn platform(&self) -> u16 {
+        self.base
+    }
+
+    /// Sends a chat request and reads the answer to its end.
+    pub(crate) fn chat(&self, vm: u16, prompt: &str, tokens: u32) -> Answer {
+        finish(self.open_chat(vm, prompt, tokens))
+    }
+
+    /// Sends a chat request and leaves the answer to be read.
+    pub(crate) fn open_chat(&self, vm: u16, prompt: &str, tokens: u32) -> Option<TcpStream> {
+        let body = format!(
+            r#"{{"model":"darn-7b","stream":true,"max_tokens":{tokens},"messages":[{{"role":"user","content":"{prompt}"}}]}}"#
+        );
+        let head = format!("Authorization: Bearer {KEY}\r\n");
+        send(self.vm(vm), "POST", "/v1/chat/completions", &head, &body)
+    }
+
+    pub(crate) fn checkout(&self, vm: u16, key: &str) -> Answer {
+        let head = format!("Authorization: Bearer {KEY}\r\nIdempotency-Key: {key}\r\n");
+        let body = r#"{"kit":"heel","price_cents":1900}"#;
+        finish(send(self.vm(vm), "POST", "/checkout/orders", &head, body))
+    }
+
+    pub(crate) fn set_fault(&self, port: u16, change: &str) {
+        let answer = finish(send(port, "POST", "/standin/faults", "", change));
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    pub(crate) fn records(&self, port: u16) -> serde_json::Value {
+        let answer = finish(send(port, "GET", "/standin/records", "", ""));
+        let body = answer.text.split_once("\r\n\r\n").expect("a body").1;
+        serde_json::from_str(body).expect("records are JSON")
+    }
+
+    /// Id of the process with this text in its arguments. Only children of this fleet are searched.
+    pub(crate) fn process(&self, argument: &str) -> u32 {
+        let found = |id: &u32| arguments(*id).contains(argument);
+        children(self.up.id())
+            .into_iter()
+            .find(found)
+            .unwrap_or_else(|| panic!("no child has {argument:?} in its arguments"))
+    }
+
+    pub(crate) fn vm_process(&self, i: u16) -> u32 {
+        self.process(&format!("vm-{}.yaml", i + 1))
+    }
+
+    /// Sends a signal, such as `KILL`, `STOP` or `CONT`, to a child of this fleet.
+    pub(crate) fn signal(&self, process: u32, name: &str) {
+        assert!(children(self.up.id()).contains(&process));
+        signal(process, name);
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        signal(self.up.id(), "TERM");
+        let _ = self.up.wait();
+    }
+}
+
+impl Answer {
+    pub(crate) fn is_whole(&self) -> bool {
+        self.status == 200 && self.text.contains("data: [DONE]")
+    }
+
+    /// Number of tokens from position 0 on that follow each other without a gap or repeat.
+    pub(crate) fn tokens(&self) -> Vec<u32> {
+        let parts = self.text.split("\"content\":\"stitch").skip(1);
+        let number = |p: &str| p.split('-').next().and_then(|n| n.parse().ok());
+        parts.filter_map(number).collect()
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) fn until(mut condition: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < GUARD, "the condition never held");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+pub(crate) fn children(process: u32) -> Vec<u32> {
+    let mut ids = Vec::new();
+    for task in fs::read_dir(format!("/proc/{process}/task")).expect("the process runs") {
+        let path = task.expect("an entry").path().join("children");
+        let text = fs::read_to_string(path).unwrap_or_default();
+        ids.extend(
+            text.split_whitespace()
+                .filter_map(|id| id.parse::<u32>().ok()),
+        );
+    }
+    ids
+}
+
+fn arguments(process: u32) -> String {
+    let bytes = fs::read(format!("/proc/{process}/cmdline")).unwrap_or_default();
+    String::from_utf8_lossy(&bytes).replace('\0', " ")
+}
+
+fn signal(process: u32, name: &str) {
+    let status = Command::new("kill")
+        .args([format!("-{name}"), process.to_string()])
+        .status();
+    assert!(status.expect("`kill` runs").success());
+}
+
+/// Sends a request on a connection of its own. `None` means that the connection was refused.
+pub(crate) fn send(
+    port: u16,
+    method: &str,
+    path: &str,
+    head: &str,
+    body: &str,
+) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect((Ipv4Addr::LOCALHOST, port)).ok()?;
+    stream.set_read_timeout(Some(GUARD)).ok()?;
+    let length = body.len();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\n{head}\
+         Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    Some(stream)
+}
+
+/// Reads an answer to its end or to the failure of its connection.
+pub(crate) fn finish(stream: Option<TcpStream>) -> Answer {
+    let mut bytes = Vec::new();
+    if let Some(mut stream) = stream {
+        let _ = stream.read_to_end(&mut bytes);
+    }
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok());
+    Answer {
+        status: status.unwrap_or(0),
+        text,
+    }
+}
+
+/// Finds a block of ports that can be bound now. Test processes start at different places.
+fn free_block() -> (u16, Vec<TcpListener>) {
+    // Fleets of one process must not find the same block between its release and its use.
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let fleet = NEXT.fetch_add(1, Ordering::Relaxed);
+    let start = 24_000 + (std::process::id() % 50) as u16 * 128 + fleet * PORTS;
+    for base in (start..32_000).chain(24_000..start).step_by(PORTS.into()) {
+        let bind = |port| TcpListener::bind((Ipv4Addr::LOCALHOST, port));
+        let block: Result<Vec<_>, _> = (base..base + PORTS).map(bind).collect();
+        if let Ok(block) = block {
+            return (base, block);
+        }
+    }
+    panic!("no free block of ports");
+}
