Add scheduler, limiter, planner and the experiments that measure them

The scheduler of a route queues by priority and workspace, refuses requests whose first token cannot be in time, and places the rest by predicted first token and token interval. The planner changes roles, buys and releases. The experiments drive both on a virtual clock against a small engine model.

The daemon does not use the scheduler yet.

--- /dev/null
+++ b/crates/core/src/fleet/config.rs
@@ -0,0 +1,79 @@
+//! Settings of the planner.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::targets::EngineRates;
+
+/// Settings of the planner.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlannerConfig {
+    /// Speed of the engines.
+    pub rates: EngineRates,
+    /// Aim between two tokens.
+    pub token_interval: Duration,
+    /// Average context of a running request.
+    pub context_tokens: f64,
+    /// Part of an engine's time that can be used without missing deadlines.
+    pub usable_share: f64,
+    /// Work of a mixed engine relative to one that does only prefill or decode.
+    pub mixed_efficiency: f64,
+    /// Horizon over which a role change must pay.
+    pub gain_horizon: Duration,
+    /// Time that an engine is away during a role change, its drain included.
+    pub change_cost: Duration,
+    /// Factor by which the gain of a role change must exceed its cost.
+    pub gain_factor: f64,
+    /// Least time between two role changes of one target.
+    pub change_interval: Duration,
+    /// Most changes at a time in one zone.
+    pub changes_per_zone: u32,
+    /// Longest drain before a planned change is postponed.
+    pub longest_drain: Duration,
+    /// Time between two samples of demand.
+    pub sample_interval: Duration,
+    /// Samples of demand that are kept.
+    pub samples: usize,
+    /// Time after which a sample counts half.
+    pub sample_half_life: Duration,
+    /// Time for which demand must exceed capacity before capacity is bought.
+    pub buy_after: Duration,
+    /// Time for which a target must not be needed before it is released.
+    pub release_after: Duration,
+    /// Spare capacity that is kept, relative to demand.
+    pub headroom: f64,
+    /// Largest share of targets that may be lost with the cheap classes of one zone.
+    pub zone_loss_share: f64,
+    /// Rate of the weight store.
+    pub weight_bytes_per_s: f64,
+    /// Digests older than this are not counted, and no order is given without a fresh one.
+    pub digest_expiry: Duration,
+}
+
+impl Default for PlannerConfig {
+    fn default() -> Self {
+        Self {
+            rates: EngineRates::default(),
+            token_interval: Duration::from_millis(56),
+            context_tokens: 1500.0,
+            usable_share: 0.85,
+            mixed_efficiency: 0.7,
+            gain_horizon: Duration::from_secs(120),
+            change_cost: Duration::from_secs(8),
+            gain_factor: 1.5,
+            change_interval: Duration::from_secs(60),
+            changes_per_zone: 1,
+            longest_drain: Duration::from_secs(120),
+            sample_interval: Duration::from_secs(5),
+            samples: 24,
+            sample_half_life: Duration::from_secs(20),
+            buy_after: Duration::from_secs(20),
+            release_after: Duration::from_secs(600),
+            headroom: 0.1,
+            zone_loss_share: 0.34,
+            weight_bytes_per_s: 1e9,
+            digest_expiry: Duration::from_secs(1),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,10 +5,14 @@
 //! one process. See `docs/design.md`, section 4.1.
 
 mod clock;
+pub mod fleet;
 mod ids;
 pub mod invariant;
+pub mod lengths;
+pub mod limits;
 mod machine;
 pub mod peer;
+pub mod scheduler;
 pub mod settings;
 pub mod store;
 pub mod targets;
--- /dev/null
+++ b/crates/core/src/limits.rs
@@ -0,0 +1,277 @@
+//! Limits of workspaces, split over the vms by demand, and retry budgets.
+//!
+//! A vm's share of a limit follows its part of the demand of all vms. Shares follow demand one
+//! gossip interval late, so a limit is overshot by at most the growth of demand in that interval.
+
+mod config;
+mod retry;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, IntoStaticStr};
+
+pub use config::LimitConfig;
+pub use retry::RetryBudget;
+
+use crate::settings::document::LimitsDocument;
+use crate::{Machine, VmId, WorkspaceId};
+
+/// Use of one workspace at one vm.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceUse {
+    /// Requests per second that ask to run.
+    pub demand_per_s: f64,
+    /// Requests in execution.
+    pub running: u64,
+    /// Cost of use today.
+    pub spent_microcents: u64,
+}
+
+/// Use of all workspaces at one vm.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LimitDigest {
+    /// Use per workspace.
+    pub workspaces: Vec<(WorkspaceId, WorkspaceUse)>,
+}
+
+/// What the limiter reacts to.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum LimitEvent {
+    /// A digest arrived.
+    Peer {
+        /// Sender.
+        from: VmId,
+        /// The digest.
+        digest: LimitDigest,
+    },
+    /// The number of live vms, this one included.
+    Vms(u32),
+    /// A new day begins; spending starts from zero.
+    NewDay,
+    /// Time has passed.
+    Tick,
+}
+
+/// What the limiter asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum LimitCommand {
+    /// Send a digest to all vms.
+    Gossip(LimitDigest),
+}
+
+/// The limit that a request would exceed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr, Serialize, Deserialize)]
+#[strum(serialize_all = "snake_case")]
+pub enum LimitKind {
+    /// Requests per second.
+    Requests,
+    /// Tokens per minute.
+    Tokens,
+    /// Requests at the same time.
+    Concurrency,
+    /// Cost per day.
+    Budget,
+}
+
+/// Why a request is refused and when it may come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitRefusal {
+    /// The limit.
+    pub kind: LimitKind,
+    /// Time after which the request can succeed.
+    pub retry_after: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Account {
+    requests: f64,
+    tokens: f64,
+    filled_at: Duration,
+    share: f64,
+    arrivals: f64,
+    own: WorkspaceUse,
+    peers: BTreeMap<VmId, (WorkspaceUse, Duration)>,
+}
+
+/// This vm's share of the limits of all workspaces.
+#[derive(Debug)]
+pub struct Limiter {
+    config: LimitConfig,
+    vms: u32,
+    accounts: BTreeMap<WorkspaceId, Account>,
+    last_tick: Duration,
+    last_gossip: Option<Duration>,
+}
+
+impl Limiter {
+    /// Creates a limiter that knows of no other vm.
+    pub fn new(config: LimitConfig) -> Self {
+        Self {
+            config,
+            vms: 1,
+            accounts: BTreeMap::new(),
+            last_tick: Duration::ZERO,
+            last_gossip: None,
+        }
+    }
+
+    /// Counts a request in, or refuses it. An admitted request must be given back by [`finish`].
+    ///
+    /// [`finish`]: Self::finish
+    pub fn admit(
+        &mut self,
+        workspace: WorkspaceId,
+        limits: &LimitsDocument,
+        now: Duration,
+    ) -> Result<(), LimitRefusal> {
+        let vms = self.vms;
+        let config = self.config;
+        let account = self.accounts.entry(workspace).or_insert_with(|| Account {
+            share: 1.0 / f64::from(vms.max(1)),
+            requests: limits.requests_per_s as f64 * config.burst.as_secs_f64() / f64::from(vms),
+            tokens: limits.tokens_per_min as f64 / f64::from(vms),
+            filled_at: now,
+            ..Account::default()
+        });
+        account.arrivals += 1.0;
+        account.fill(limits, &config, now);
+        account.check(limits, &config, now)?;
+        account.requests -= 1.0;
+        account.own.running += 1;
+        Ok(())
+    }
+
+    /// Charges the tokens and the cost of a request that was admitted.
+    pub fn finish(&mut self, workspace: WorkspaceId, tokens: u64, cost_microcents: u64) {
+        let Some(account) = self.accounts.get_mut(&workspace) else {
+            return;
+        };
+        account.own.running = account.own.running.saturating_sub(1);
+        account.own.spent_microcents += cost_microcents;
+        account.tokens -= tokens as f64;
+    }
+
+    fn tick(&mut self, now: Duration, out: &mut Vec<LimitCommand>) {
+        let elapsed = now.saturating_sub(self.last_tick).as_secs_f64();
+        self.last_tick = now;
+        let weight = (elapsed / self.config.demand_window.as_secs_f64()).min(1.0);
+        for account in self.accounts.values_mut() {
+            let rate = account.arrivals / elapsed.max(1e-3);
+            account.arrivals = 0.0;
+            account.own.demand_per_s += weight * (rate - account.own.demand_per_s);
+            account.share = account.new_share(self.vms, &self.config, now);
+        }
+        let due = self
+            .last_gossip
+            .is_none_or(|at| now.saturating_sub(at) >= self.config.gossip_interval);
+        if !due || self.accounts.is_empty() {
+            return;
+        }
+        self.last_gossip = Some(now);
+        let workspaces = self.accounts.iter().map(|(id, a)| (*id, a.own)).collect();
+        out.push(LimitCommand::Gossip(LimitDigest { workspaces }));
+    }
+}
+
+impl Machine for Limiter {
+    type Event = LimitEvent;
+    type Command = LimitCommand;
+
+    fn step(&mut self, event: LimitEvent, now: Duration, out: &mut Vec<LimitCommand>) {
+        match event {
+            LimitEvent::Peer { from, digest } => {
+                for (workspace, used) in digest.workspaces {
+                    let vms = self.vms;
+                    let account = self.accounts.entry(workspace).or_insert_with(|| Account {
+                        share: 1.0 / f64::from(vms),
+                        ..Account::default()
+                    });
+                    account.peers.insert(from, (used, now));
+                }
+            }
+            LimitEvent::Vms(vms) => self.vms = vms.max(1),
+            LimitEvent::NewDay => {
+                for account in self.accounts.values_mut() {
+                    account.own.spent_microcents = 0;
+                    account
+                        .peers
+                        .values_mut()
+                        .for_each(|(u, _)| u.spent_microcents = 0);
+                }
+            }
+            LimitEvent::Tick => self.tick(now, out),
+        }
+    }
+}
+
+impl Account {
+    fn fill(&mut self, limits: &LimitsDocument, config: &LimitConfig, now: Duration) {
+        let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        let rate = limits.requests_per_s as f64 * self.share;
+        let burst = (rate * config.burst.as_secs_f64()).max(1.0);
+        self.requests = (self.requests + rate * elapsed).min(burst);
+        let tokens = limits.tokens_per_min as f64 * self.share;
+        self.tokens = (self.tokens + tokens * elapsed / 60.0).min(tokens);
+    }
+
+    fn check(
+        &self,
+        limits: &LimitsDocument,
+        config: &LimitConfig,
+        now: Duration,
+    ) -> Result<(), LimitRefusal> {
+        let refuse = |kind, seconds: f64| {
+            let seconds = seconds.clamp(0.1, 86_400.0);
+            Err(LimitRefusal {
+                kind,
+                retry_after: Duration::from_secs_f64(seconds),
+            })
+        };
+        if limits.requests_per_s > 0 && self.requests < 1.0 {
+            let rate = limits.requests_per_s as f64 * self.share;
+            return refuse(LimitKind::Requests, (1.0 - self.requests) / rate.max(1e-3));
+        }
+        if limits.tokens_per_min > 0 && self.tokens <= 0.0 {
+            let rate = limits.tokens_per_min as f64 * self.share / 60.0;
+            return refuse(LimitKind::Tokens, -self.tokens / rate.max(1e-3));
+        }
+        let others = self.others(config, now);
+        if limits.concurrent_requests > 0
+            && self.own.running + others.running >= limits.concurrent_requests
+        {
+            return refuse(LimitKind::Concurrency, 1.0);
+        }
+        // Spending of a vm that is gone still counts, so expired digests are included.
+        let elsewhere: u64 = self.peers.values().map(|(u, _)| u.spent_microcents).sum();
+        let budget_microcents = limits.budget_cents_per_day.saturating_mul(1_000_000);
+        if budget_microcents > 0 && self.own.spent_microcents + elsewhere >= budget_microcents {
+            return refuse(LimitKind::Budget, 3600.0);
+        }
+        Ok(())
+    }
+
+    fn others(&self, config: &LimitConfig, now: Duration) -> WorkspaceUse {
+        let mut sum = WorkspaceUse::default();
+        for (used, heard_at) in self.peers.values() {
+            if now.saturating_sub(*heard_at) < config.peer_expiry {
+                sum.demand_per_s += used.demand_per_s;
+                sum.running += used.running;
+            }
+        }
+        sum
+    }
+
+    /// The idle shares of all vms and the shares by demand add up to one.
+    fn new_share(&self, vms: u32, config: &LimitConfig, now: Duration) -> f64 {
+        let equal = 1.0 / f64::from(vms);
+        let total = self.own.demand_per_s + self.others(config, now).demand_per_s;
+        if total <= 0.0 {
+            return equal;
+        }
+        let by_demand = self.own.demand_per_s / total;
+        config.idle_share * equal + (1.0 - config.idle_share) * by_demand
+    }
+}
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -6,6 +6,14 @@
 
 use crate::{Fence, Incarnation};
 
+mod cache;
+mod rates;
+mod view;
+
+pub use rates::EngineRates;
+pub(crate) use view::OwnWork;
+pub use view::{TargetInfo, TargetLoad, TargetView};
+
 /// What kind of work an engine takes.
 #[derive(
     Clone,
--- /dev/null
+++ b/crates/core/src/targets/view.rs
@@ -0,0 +1,255 @@
+//! What one vm knows of one target: lagging reports, its own work there and the work of peers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::cache::PrefixCache;
+use super::{CacheEvent, EngineRates, LoadReport, Role, TargetState};
+use crate::{RequestId, TargetId, VmId, ZoneId};
+
+/// What settings say about a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetInfo {
+    /// Key of the target.
+    pub id: TargetId,
+    /// Zone of the target.
+    pub zone: ZoneId,
+    /// Whether the platform may withdraw the target at any time.
+    pub reclaimable: bool,
+    /// Whether settings withdraw the target.
+    pub leaving: bool,
+}
+
+/// Work of one vm, or of all, at a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// Prompt tokens that are sent and not yet answered by a first token.
+    pub prefill_tokens: u64,
+    /// Requests without a first token, and promises to decode.
+    pub waiting: u32,
+    /// Requests that generate.
+    pub streams: u32,
+    /// Context held by waiting and generating requests that decode here.
+    pub context_tokens: u64,
+    /// Requests that may crash the target.
+    pub suspects: u32,
+}
+
+impl TargetLoad {
+    /// Requests that a planned change would cut.
+    pub fn in_flight(&self) -> u32 {
+        self.waiting + self.streams
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.prefill_tokens += other.prefill_tokens;
+        self.waiting += other.waiting;
+        self.streams += other.streams;
+        self.context_tokens += other.context_tokens;
+        self.suspects += other.suspects;
+    }
+}
+
+/// Own work of one request at one target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OwnWork {
+    pub(crate) prefill_tokens: u64,
+    pub(crate) context_tokens: u64,
+    pub(crate) streaming: bool,
+    pub(crate) suspect: bool,
+    pub(crate) sent_at: Duration,
+}
+
+/// Digests of peers older than this are not counted; a live vm sends one every 100 ms.
+const PEER_EXPIRY: Duration = Duration::from_secs(2);
+/// Time for which one sign of not serving outweighs reports that say otherwise.
+const STICKY: Duration = Duration::from_secs(3);
+/// Time constant of the share of time spent on prefill.
+const DUTY_S: f64 = 5.0;
+
+/// What one vm knows of one target.
+#[derive(Debug)]
+pub struct TargetView {
+    pub(crate) info: TargetInfo,
+    pub(crate) role: Role,
+    pub(crate) cache: PrefixCache,
+    pub(crate) duty: f64,
+    report: Option<(LoadReport, Duration)>,
+    report_age: Duration,
+    own: BTreeMap<RequestId, OwnWork>,
+    peers: BTreeMap<VmId, (TargetLoad, Duration)>,
+    closed: Option<(TargetState, Duration)>,
+    leaving_heard_at: Option<Duration>,
+}
+
+impl TargetView {
+    pub(crate) fn new(info: TargetInfo, now: Duration) -> Self {
+        Self {
+            info,
+            role: Role::Mixed,
+            cache: PrefixCache::default(),
+            duty: 0.0,
+            report: None,
+            report_age: Duration::ZERO,
+            own: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            closed: None,
+            leaving_heard_at: info.leaving.then_some(now),
+        }
+    }
+
+    /// Takes over what settings say. Settings may bring a leaving target back.
+    pub(crate) fn set_info(&mut self, info: TargetInfo, now: Duration) {
+        if self.info.leaving && !info.leaving {
+            self.leaving_heard_at = None;
+        }
+        self.info = info;
+        if info.leaving {
+            self.hear_state(TargetState::Leaving, now);
+        }
+    }
+
+    /// Takes over a load report that describes the target `age` ago.
+    pub(crate) fn hear_report(&mut self, report: LoadReport, age: Duration, now: Duration) {
+        let restarted = self
+            .report
+            .as_ref()
+            .is_some_and(|(old, _)| old.incarnation != report.incarnation);
+        if restarted {
+            self.cache.clear();
+            self.closed = None;
+            self.leaving_heard_at = self.info.leaving.then_some(now);
+        }
+        self.role = report.role;
+        if report.state != TargetState::Serving {
+            self.hear_state(report.state, now);
+        }
+        self.report_age = age;
+        self.report = Some((report, now));
+    }
+
+    /// Notes a state that a peer, the planner or the target told.
+    pub(crate) fn hear_state(&mut self, state: TargetState, now: Duration) {
+        if state == TargetState::Serving {
+            self.closed = None;
+            return;
+        }
+        self.closed = Some((state, now));
+        if state == TargetState::Leaving && self.leaving_heard_at.is_none() {
+            self.leaving_heard_at = Some(now);
+        }
+    }
+
+    /// Forgets the report of a target that does not answer.
+    pub(crate) fn lose(&mut self) {
+        self.report = None;
+    }
+
+    pub(crate) fn hear_peer(&mut self, from: VmId, load: TargetLoad, now: Duration) {
+        self.peers.insert(from, (load, now));
+    }
+
+    pub(crate) fn hear_cache(&mut self, events: &[CacheEvent]) {
+        self.cache.apply(events);
+    }
+
+    /// Whether new work may go there.
+    pub(crate) fn is_open(&self, now: Duration) -> bool {
+        self.report.is_some() && self.is_closed(now).is_none()
+    }
+
+    /// The state that keeps new work away.
+    pub(crate) fn is_closed(&self, now: Duration) -> Option<TargetState> {
+        if self.leaving_heard_at.is_some() {
+            return Some(TargetState::Leaving);
+        }
+        let (state, heard_at) = self.closed?;
+        let reported = self.report.as_ref().map(|(r, _)| r.state);
+        let sticky = now.saturating_sub(heard_at) < STICKY;
+        (sticky || reported != Some(TargetState::Serving)).then_some(state)
+    }
+
+    /// When this vm first heard that the target leaves.
+    pub(crate) fn leaving_heard_at(&self) -> Option<Duration> {
+        self.leaving_heard_at
+    }
+
+    pub(crate) fn begin(&mut self, request: RequestId, work: OwnWork) {
+        self.own.insert(request, work);
+    }
+
+    pub(crate) fn work_mut(&mut self, request: RequestId) -> Option<&mut OwnWork> {
+        self.own.get_mut(&request)
+    }
+
+    pub(crate) fn end(&mut self, request: RequestId) -> Option<OwnWork> {
+        self.own.remove(&request)
+    }
+
+    pub(crate) fn requests(&self) -> impl Iterator<Item = RequestId> + '_ {
+        self.own.keys().copied()
+    }
+
+    /// Work of this vm alone.
+    pub(crate) fn own_load(&self) -> TargetLoad {
+        self.own_since(Duration::ZERO)
+    }
+
+    fn own_since(&self, since: Duration) -> TargetLoad {
+        let mut sum = TargetLoad::default();
+        for work in self.own.values().filter(|w| w.sent_at >= since) {
+            sum.prefill_tokens += if work.streaming {
+                0
+            } else {
+                work.prefill_tokens
+            };
+            sum.waiting += u32::from(!work.streaming);
+            sum.streams += u32::from(work.streaming);
+            sum.context_tokens += work.context_tokens;
+            sum.suspects += u32::from(work.suspect);
+        }
+        sum
+    }
+
+    /// Work of all vms. With a fresh digest of each of `peers` vms the sum is complete; otherwise
+    /// the report stands in for what is not known, with own work added that it cannot contain.
+    pub(crate) fn load(&self, peers: u32, rates: &EngineRates, now: Duration) -> TargetLoad {
+        let mut known = self.own_load();
+        let mut fresh = 0;
+        for (load, heard_at) in self.peers.values() {
+            if now.saturating_sub(*heard_at) < PEER_EXPIRY {
+                known.add(load);
+                fresh += 1;
+            }
+        }
+        if fresh >= peers && peers > 0 {
+            return known;
+        }
+        let Some((report, heard_at)) = &self.report else {
+            return known;
+        };
+        let taken_at = heard_at.saturating_sub(self.report_age);
+        let since_s = now.saturating_sub(taken_at).as_secs_f64();
+        let done_tokens = (since_s * rates.prefill_tokens_per_s) as u64;
+        let added = self.own_since(taken_at);
+        TargetLoad {
+            prefill_tokens: known.prefill_tokens.max(
+                report.queued_prompt_tokens.saturating_sub(done_tokens) + added.prefill_tokens,
+            ),
+            waiting: known.waiting.max(report.waiting_requests + added.waiting),
+            streams: known.streams.max(report.running_requests + added.streams),
+            context_tokens: known
+                .context_tokens
+                .max(report.running_context_tokens + added.context_tokens),
+            suspects: known.suspects,
+        }
+    }
+
+    /// Follows the share of time that the target spends on prefill.
+    pub(crate) fn follow_duty(&mut self, busy: bool, elapsed: Duration) {
+        let weight = (elapsed.as_secs_f64() / DUTY_S).min(1.0);
+        self.duty += weight * (f64::from(u8::from(busy)) - self.duty);
+    }
+}
--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -75,6 +75,7 @@
 /// Hands a message to its machine. The returned message is sent back in the same exchange.
 fn deliver(_context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
     match message {
+        PeerMessage::Scheduler { .. } | PeerMessage::Limits(_) => None,
         PeerMessage::Ping => {
             log::trace!("vm: ping from {from}");
             None
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -5,7 +5,7 @@
 
 use pico_args::Arguments;
 
-use crate::{engine, platform, service, up};
+use crate::{engine, experiment, platform, service, up};
 
 const HELP: &str = "\
 jujubebeam-standin: stand-ins for the systems around jujubebeam
@@ -16,6 +16,8 @@
     jujubebeam-standin engine --address IP:PORT --model MODEL
     jujubebeam-standin service --address IP:PORT --name NAME
     jujubebeam-standin vm ARGUMENTS OF jujubebeam
+    jujubebeam-standin experiment NAME [--seeds A..B] [--policy all|NAME] [--output json|table]
+                                  [--plot DIR] [--short]
 
 COMMANDS:
     up          Starts the stand-ins and six vms on loopback until Ctrl-C.
@@ -23,6 +25,7 @@
     engine      Runs one inference engine.
     service     Runs one plain service.
     vm          Runs the jujubebeam daemon or client.
+    experiment  Measures the decision crate on a virtual clock; see docs/MEASUREMENTS.md.
 
 OPTIONS:
     --once        Serves one streamed request and one checkout, prints both and exits.
@@ -74,6 +77,7 @@
             let name: String = required(&mut args, "--name")?;
             service::run(address, name)
         }
+        "experiment" => experiment::run(args),
         other => Err(format!("unknown command {other:?}; see `--help`")),
     }
 }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod engine;
+mod experiment;
 mod platform;
 mod serve;
 mod service;
