Dispatch through the scheduler of the route and check limits

acquire() hands the request to the scheduler of its route and waits for the verdict on a channel; dropping the permit, or the waiting future, ends the attempt in the books.

--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -143,7 +143,14 @@
         Ok(())
     }
 
-    /// Charges the tokens and the cost of a request that was admitted.
+    /// Counts a further attempt of a request that was admitted before.
+    pub fn admit_again(&mut self, workspace: WorkspaceId) {
+        if let Some(account) = self.accounts.get_mut(&workspace) {
+            account.own.running += 1;
+        }
+    }
+
+    /// Ends an attempt and charges its tokens and cost.
     pub fn finish(&mut self, workspace: WorkspaceId, tokens: u64, cost_microcents: u64) {
         let Some(account) = self.accounts.get_mut(&workspace) else {
             return;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -5,6 +5,7 @@
 use crate::RouteId;
 use crate::limits::LimitDigest;
 use crate::scheduler::Digest;
+use crate::targets::TargetNews;
 
 /// A message from one vm to another. Each machine that talks to other vms has a variant.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -20,4 +21,6 @@
     },
     /// Demand and use of limits at the sender.
     Limits(LimitDigest),
+    /// Load reports and cache events that the sender read from targets.
+    Targets(Vec<TargetNews>),
 }
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -141,6 +141,15 @@
         }
     }
 
+    /// Fresh digests that make the known work at a target complete.
+    pub(crate) fn expected_digests(&self) -> u32 {
+        if self.config.shared_targets {
+            u32::MAX
+        } else {
+            self.peers
+        }
+    }
+
     fn work_s(&self, uncached_tokens: u64, output_tokens: u64) -> f64 {
         if self.config.kind == TargetKind::Service {
             return 1.0;
@@ -402,9 +411,9 @@
     }
 
     fn follow(&mut self, elapsed: Duration, now: Duration) {
-        let (peers, rates) = (self.peers, self.config.rates);
+        let (digests, rates) = (self.expected_digests(), self.config.rates);
         for view in self.views.values_mut() {
-            let busy = view.load(peers, &rates, now).prefill_tokens > 0;
+            let busy = view.load(digests, &rates, now).prefill_tokens > 0;
             view.follow_duty(busy, elapsed);
         }
         let seconds = elapsed.as_secs_f64().max(1e-3);
--- a/crates/core/src/scheduler/config.rs
+++ b/crates/core/src/scheduler/config.rs
@@ -46,7 +46,10 @@
     pub own_zone_weight: f64,
     /// Requests at the same time at one plain service.
     pub service_concurrency: u32,
-    /// Whether prompts may run on a prefill engine and decode on another.
+    /// Whether other routes use the same targets. Their work is only known from load reports.
+    pub shared_targets: bool,
+    /// Whether prompts may run on a prefill engine and decode on another. Without it, roles are
+    /// ignored and every engine does both.
     pub split_prefill: bool,
     /// Time between two digests for peers.
     pub digest_interval: Duration,
@@ -73,6 +76,7 @@
             near_best: 1.1,
             own_zone_weight: 3.0,
             service_concurrency: 64,
+            shared_targets: false,
             split_prefill: true,
             digest_interval: Duration::from_millis(100),
             explained_decisions: 512,
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -89,7 +89,7 @@
         }
         let seconds = self
             .eligible(arrival, now)
-            .filter(|view| view.role != Role::Decode)
+            .filter(|view| self.role_of(view) != Role::Decode)
             .map(|view| {
                 let rate = self.config.rates.prefill_tokens_per_s;
                 self.uncached(view, arrival) as f64 / rate
@@ -132,7 +132,15 @@
     }
 
     pub(crate) fn load(&self, view: &TargetView, now: Duration) -> TargetLoad {
-        view.load(self.peers, &self.config.rates, now)
+        view.load(self.expected_digests(), &self.config.rates, now)
+    }
+
+    fn role_of(&self, view: &TargetView) -> Role {
+        if self.config.split_prefill {
+            view.role
+        } else {
+            Role::Mixed
+        }
     }
 
     fn engine_choices(&self, waiting: &Waiting, now: Duration) -> Vec<Choice> {
@@ -141,7 +149,7 @@
         let left = waiting.deadline_at().saturating_sub(now).as_secs_f64();
         let mut choices = Vec::new();
         for view in self.eligible(arrival, now) {
-            let choice = match view.role {
+            let choice = match self.role_of(view) {
                 Role::Decode => continue,
                 Role::Mixed => self.mixed_choice(view, waiting, now),
                 Role::Prefill => {
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -4,7 +4,7 @@
 use smallvec::SmallVec;
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
-use crate::{Fence, Incarnation};
+use crate::{Fence, Incarnation, TargetId};
 
 mod cache;
 mod rates;
@@ -189,3 +189,14 @@
     /// Another order is in execution.
     Busy,
 }
+
+/// What one vm read from a target, for vms that did not read it themselves.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetNews {
+    /// The target.
+    pub target: TargetId,
+    /// Its load report.
+    pub report: LoadReport,
+    /// Its new cache events.
+    pub events: Vec<CacheEvent>,
+}
--- a/crates/core/src/targets/view.rs
+++ b/crates/core/src/targets/view.rs
@@ -66,6 +66,8 @@
 const PEER_EXPIRY: Duration = Duration::from_secs(2);
 /// Time for which one sign of not serving outweighs reports that say otherwise.
 const STICKY: Duration = Duration::from_secs(3);
+/// A target of which nothing was heard for this long gets no new work.
+const REPORT_EXPIRY: Duration = Duration::from_secs(5);
 /// Time constant of the share of time spent on prefill.
 const DUTY_S: f64 = 5.0;
 
@@ -157,7 +159,11 @@
 
     /// Whether new work may go there.
     pub(crate) fn is_open(&self, now: Duration) -> bool {
-        self.report.is_some() && self.is_closed(now).is_none()
+        let heard = self
+            .report
+            .as_ref()
+            .is_some_and(|(_, at)| now.saturating_sub(*at) < REPORT_EXPIRY);
+        heard && self.is_closed(now).is_none()
     }
 
     /// The state that keeps new work away.
--- a/crates/jujubebeam/src/control.rs
+++ b/crates/jujubebeam/src/control.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use crate::context::Context;
+use crate::dispatch;
 use crate::shared::Shared;
 
 /// Starts all control tasks on the calling thread.
@@ -15,4 +16,5 @@
     settings::start(&context);
     vm_list::start(&context);
     loads::start(&context);
+    dispatch::start(&context);
 }
--- a/crates/jujubebeam/src/dispatch.rs
+++ b/crates/jujubebeam/src/dispatch.rs
@@ -1,13 +1,26 @@
 //! Admits a request to its route and chooses a target for it.
 
+mod dispatcher;
+
+use std::sync::Arc;
+use std::time::Duration;
+
 use jujubebeam_caller::{CallerError, ErrorKind};
+use jujubebeam_core::limits::LimitRefusal;
+use jujubebeam_core::scheduler::{Arrival, RefusalKind, SchedulerEvent};
+use jujubebeam_core::settings::document::{Priority, RouteDocument};
 use jujubebeam_core::settings::{RouteSpec, Snapshot, TargetSpec, WorkspaceSpec};
-use jujubebeam_core::targets::TargetState;
-use jujubebeam_core::{RequestId, TargetId};
+use jujubebeam_core::{Clock, RequestId, TargetId, WorkspaceId};
+use ntex::time::sleep;
 use smallvec::SmallVec;
-use std::time::Duration;
+
+pub(crate) use dispatcher::{Dispatcher, hear_digest, hear_limits, hear_news};
+use dispatcher::{RouteScheduler, Verdict};
 
 use crate::context::Context;
+use crate::part::TICK_INTERVAL;
+use crate::peers;
+use crate::shared::Shared;
 
 /// What is known about a request when it asks for a target.
 #[derive(Clone, Debug)]
@@ -43,17 +56,90 @@
 pub(crate) struct Permit {
     /// Target to use.
     pub(crate) target: TargetSpec,
+    attempt: Attempt,
+}
+
+/// One attempt in the books of the scheduler and the limiter, until it is dropped.
+#[derive(Debug)]
+struct Attempt {
+    shared: Arc<Shared>,
+    route: Arc<RouteScheduler>,
+    prices: (u64, u64),
+    workspace: Option<WorkspaceId>,
+    /// Differs from the request's id, since a request may begin an attempt before the last one is
+    /// dropped.
+    id: RequestId,
+    waits: bool,
+    finished: Option<(u64, u64)>,
 }
 
 impl Permit {
     /// Reports the first token, so that the scheduler learns how long prefill took.
-    pub(crate) fn first_token(&mut self) {}
+    pub(crate) fn first_token(&mut self) {
+        let request = self.attempt.id;
+        self.attempt.feed(SchedulerEvent::FirstToken { request });
+    }
 
     /// Reports generated tokens.
-    pub(crate) fn generated(&mut self, _tokens: u64) {}
+    pub(crate) fn generated(&mut self, tokens: u64) {
+        let request = self.attempt.id;
+        self.attempt
+            .feed(SchedulerEvent::Generated { request, tokens });
+    }
 
     /// Reports the end of the attempt with the real token counts.
-    pub(crate) fn finish(self, _prompt_tokens: u64, _output_tokens: u64) {}
+    pub(crate) fn finish(mut self, prompt_tokens: u64, output_tokens: u64) {
+        self.attempt.finished = Some((prompt_tokens, output_tokens));
+    }
+}
+
+impl Attempt {
+    fn feed(&self, event: SchedulerEvent) {
+        // Only ticks make digests.
+        self.route.feed(&self.shared, event);
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        let request = self.id;
+        if self.waits {
+            self.route.give_up(request);
+        }
+        let (prompt_tokens, output_tokens) = self.finished.unwrap_or_default();
+        self.feed(match self.finished {
+            Some(_) => SchedulerEvent::Finish {
+                request,
+                prompt_tokens,
+                output_tokens,
+            },
+            None => SchedulerEvent::Cancel { request },
+        });
+        let Some(workspace) = self.workspace else {
+            return;
+        };
+        let (prompt_price, output_price) = self.prices;
+        let cost = prompt_tokens * prompt_price + output_tokens * output_price;
+        let tokens = prompt_tokens + output_tokens;
+        self.shared
+            .dispatcher
+            .limiter()
+            .finish(workspace, tokens, cost);
+    }
+}
+
+/// Passes time on to the schedulers and the limiter, and sends their digests to all peers.
+pub(crate) fn start(context: &Context) {
+    let context = context.clone();
+    ntex::rt::spawn(async move {
+        loop {
+            let messages = context.shared.dispatcher.tick(&context.shared);
+            if !messages.is_empty() {
+                peers::send_to_all(&context, &messages);
+            }
+            sleep(TICK_INTERVAL).await;
+        }
+    });
 }
 
 /// Waits until the request may run and returns its target, or the final refusal.
@@ -62,25 +148,109 @@
     snapshot: &Snapshot,
     ask: &Ask<'_>,
 ) -> Result<Permit, CallerError> {
-    let group = &snapshot.groups[ask.route.group];
-    let target = group
-        .targets
-        .iter()
-        .filter(|id| !ask.excluded.contains(id))
-        .filter_map(|id| snapshot.targets.get(id))
-        .filter(|t| !t.leaving)
-        .filter_map(|t| Some((t, context.shared.load(t.id)?)))
-        .filter(|(_, load)| load.state == TargetState::Serving)
-        .min_by_key(|(_, load)| load.running_requests + load.waiting_requests);
-    let Some((target, _)) = target else {
-        return Err(CallerError::not_run(
-            ErrorKind::NoTarget,
-            "no target can take the request",
+    let shared = &context.shared;
+    let dispatcher = &shared.dispatcher;
+    let route = dispatcher.route(ask.route.id).ok_or_else(|| no_target(2))?;
+    check_limits(shared, ask)?;
+    let id = shared.new_request_id();
+    dispatcher.remember(ask.request, id, ask.route.id);
+    let verdict = route.wait(id);
+    let mut attempt = Attempt {
+        shared: Arc::clone(shared),
+        route,
+        prices: prices(&ask.route.settings),
+        workspace: ask.workspace.map(|w| w.id),
+        id,
+        waits: true,
+        finished: None,
+    };
+    attempt.feed(SchedulerEvent::Arrival(arrival(id, ask)));
+    let verdict = verdict.await;
+    attempt.waits = false;
+    match verdict {
+        Ok(Verdict::Run { target }) => {
+            let target = snapshot.targets.get(&target).cloned();
+            let target = target.ok_or_else(|| no_target(1))?;
+            Ok(Permit { target, attempt })
+        }
+        Ok(Verdict::Refuse { kind, retry_after }) => Err(refusal(kind, retry_after)),
+        Err(_) => Err(no_target(1)),
+    }
+}
+
+fn check_limits(shared: &Shared, ask: &Ask<'_>) -> Result<(), CallerError> {
+    let Some(workspace) = ask.workspace else {
+        return Ok(());
+    };
+    let mut limiter = shared.dispatcher.limiter();
+    // A further attempt of an admitted request must not fail for a limit.
+    if !ask.excluded.is_empty() {
+        limiter.admit_again(workspace.id);
+        return Ok(());
+    }
+    let now = shared.clock.now();
+    limiter
+        .admit(workspace.id, &workspace.limits, now)
+        .map_err(limit_reached)
+}
+
+fn arrival(id: RequestId, ask: &Ask<'_>) -> Arrival {
+    Arrival {
+        request: id,
+        workspace: ask.workspace.map(|w| w.id).unwrap_or_default(),
+        priority: ask.workspace.map_or(Priority::Normal, |w| w.priority),
+        weight: ask.workspace.map_or(1, |w| w.weight),
+        prompt_tokens: ask.prompt_tokens,
+        max_tokens: ask.max_tokens,
+        known_output_tokens: None,
+        prefix: ask.prefix_hashes.iter().copied().collect(),
+        repeatable: ask.repeatable,
+        allow_reclaimable: ask.workspace.is_some_and(|w| w.spending.allow_reclaimable),
+        deadline: ask.deadline,
+        excluded: ask.excluded.clone(),
+        suspect: ask.suspect,
+    }
+}
+
+fn prices(route: &RouteDocument) -> (u64, u64) {
+    (route.prompt_price_microcents, route.output_price_microcents)
+}
+
+fn limit_reached(refusal: LimitRefusal) -> CallerError {
+    CallerError::not_run(
+        ErrorKind::LimitReached,
+        format!("the workspace has reached its limit of {}", refusal.kind),
+        "send the request again later, or ask the operator of the workspace for a higher limit",
+    )
+    .retry_after_s(seconds(refusal.retry_after))
+}
+
+fn refusal(kind: RefusalKind, retry_after: Duration) -> CallerError {
+    let error = match kind {
+        RefusalKind::NoTarget => return no_target(seconds(retry_after)),
+        RefusalKind::QueueFull => CallerError::not_run(
+            ErrorKind::Overloaded,
+            "too many requests of the workspace wait",
             "send the request again later",
-        )
-        .retry_after_s(2));
+        ),
+        RefusalKind::DeadlineUnreachable => CallerError::not_run(
+            ErrorKind::DeadlineUnreachable,
+            "the first token would be late",
+            "send the request again later, or with a later deadline",
+        ),
     };
-    Ok(Permit {
-        target: target.clone(),
-    })
+    error.retry_after_s(seconds(retry_after))
+}
+
+fn no_target(retry_after_s: u32) -> CallerError {
+    CallerError::not_run(
+        ErrorKind::NoTarget,
+        "no target can take the request",
+        "send the request again later",
+    )
+    .retry_after_s(retry_after_s)
+}
+
+fn seconds(time: Duration) -> u32 {
+    (time.as_secs_f64().ceil() as u32).max(1)
 }
--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -7,6 +7,7 @@
 use ntex::web::{self, HttpResponse, ServiceConfig};
 
 use crate::context::Context;
+use crate::dispatch;
 
 /// Largest body of an envelope.
 const ENVELOPE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -39,6 +40,14 @@
     });
 }
 
+/// Sends messages to all other vms of the list.
+pub(crate) fn send_to_all(context: &Context, messages: &[PeerMessage]) {
+    let own = context.shared.config.vm;
+    for vm in context.shared.vms().vms.iter().filter(|v| v.vm != own) {
+        send(context, vm.vm, messages.to_vec());
+    }
+}
+
 async fn receive(context: web::types::State<Context>, body: Bytes) -> HttpResponse {
     let envelope: Envelope<PeerMessage> = match decode(&body) {
         Ok(envelope) => envelope,
@@ -73,9 +82,22 @@
 }
 
 /// Hands a message to its machine. The returned message is sent back in the same exchange.
-fn deliver(_context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
+fn deliver(context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
     match message {
-        PeerMessage::Scheduler { .. } | PeerMessage::Limits(_) => None,
+        PeerMessage::Scheduler { route, digest } => {
+            dispatch::hear_digest(&context.shared, from, route, digest);
+            None
+        }
+        PeerMessage::Limits(digest) => {
+            dispatch::hear_limits(&context.shared, from, digest);
+            None
+        }
+        PeerMessage::Targets(news) => {
+            for news in news {
+                dispatch::hear_news(&context.shared, news);
+            }
+            None
+        }
         PeerMessage::Ping => {
             log::trace!("vm: ping from {from}");
             None
--- a/crates/jujubebeam/src/shared.rs
+++ b/crates/jujubebeam/src/shared.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use jujubebeam_core::settings::Snapshot;
 use jujubebeam_core::targets::LoadReport;
-use jujubebeam_core::{Incarnation, RequestId, SystemClock, TargetId, VmId};
+use jujubebeam_core::{Clock, Incarnation, RequestId, SystemClock, TargetId, VmId};
 use jujubebeam_vmlist::VmList;
 
+use crate::dispatch::Dispatcher;
 use crate::process_config::ProcessConfig;
 
 /// State of the process. Every part has its own lock, and no lock is held across an await.
@@ -23,8 +24,10 @@
     pub(crate) clock: SystemClock,
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     vms: RwLock<Arc<VmList>>,
-    loads: RwLock<HashMap<TargetId, LoadReport>>,
+    loads: RwLock<HashMap<TargetId, (LoadReport, Duration)>>,
     next_serial: AtomicU64,
+    /// Schedulers of all routes and the limits of workspaces.
+    pub(crate) dispatcher: Dispatcher,
 }
 
 impl Shared {
@@ -38,6 +41,7 @@
             vms: RwLock::new(Arc::new(VmList::default())),
             loads: RwLock::new(HashMap::new()),
             next_serial: AtomicU64::new(1),
+            dispatcher: Dispatcher::default(),
         }
     }
 
@@ -63,14 +67,22 @@
 
     /// Last load report of a target.
     pub(crate) fn load(&self, target: TargetId) -> Option<LoadReport> {
-        read(&self.loads).get(&target).cloned()
+        read(&self.loads)
+            .get(&target)
+            .map(|(report, _)| report.clone())
+    }
+
+    /// Time since the last load report of a target arrived.
+    pub(crate) fn load_age(&self, target: TargetId) -> Option<Duration> {
+        let heard_at = read(&self.loads).get(&target)?.1;
+        Some(self.clock.now().saturating_sub(heard_at))
     }
 
     /// Stores or removes the load report of a target.
     pub(crate) fn set_load(&self, target: TargetId, report: Option<LoadReport>) {
         let mut loads = write(&self.loads);
         match report {
-            Some(report) => loads.insert(target, report),
+            Some(report) => loads.insert(target, (report, self.clock.now())),
             None => loads.remove(&target),
         };
     }
--- a/crates/standin/src/experiment/scenario.rs
+++ b/crates/standin/src/experiment/scenario.rs
@@ -131,7 +131,7 @@
                 t if t < 240.0 => high,
                 t if t < 360.0 => high + (low - high) * (t - 240.0) / 120.0,
                 t if t < 450.0 => low,
-                t if (t / 15.0) as u64 % 2 == 0 => high,
+                t if ((t / 15.0) as u64).is_multiple_of(2) => high,
                 _ => low,
             },
             _ => USUAL_PREFILL_SHARE,
--- a/crates/standin/src/experiment/traffic.rs
+++ b/crates/standin/src/experiment/traffic.rs
@@ -55,7 +55,7 @@
             deadline,
             ..Arrival::default()
         };
-        self.to_scheduler(vm, SchedulerEvent::Arrival(arrival));
+        self.tell_scheduler(vm, SchedulerEvent::Arrival(arrival));
     }
 
     fn submit_to_baseline(&mut self, vm: usize, request: usize) {
@@ -181,7 +181,7 @@
     fn tell_vm(&mut self, request: usize, event: impl Fn(RequestId) -> SchedulerEvent) {
         if self.policy.decides() {
             let vm = self.vm_of(request);
-            self.to_scheduler(vm, event(RequestId(request as u128)));
+            self.tell_scheduler(vm, event(RequestId(request as u128)));
         }
     }
 
@@ -228,9 +228,9 @@
         }
     }
 
-    pub(crate) fn to_vm(&mut self, vm: usize, event: SchedulerEvent) {
+    pub(crate) fn deliver_to_vm(&mut self, vm: usize, event: SchedulerEvent) {
         if self.policy.decides() {
-            return self.to_scheduler(vm, event);
+            return self.tell_scheduler(vm, event);
         }
         if let SchedulerEvent::Report { target, report, .. } = event
             && self.position(target).is_some()
@@ -239,7 +239,7 @@
         }
     }
 
-    pub(crate) fn to_scheduler(&mut self, vm: usize, event: SchedulerEvent) {
+    pub(crate) fn tell_scheduler(&mut self, vm: usize, event: SchedulerEvent) {
         let mut out = Vec::new();
         self.schedulers[vm].step(event, self.now, &mut out);
         for command in out {
@@ -288,7 +288,7 @@
         self.transfer(request, to);
     }
 
-    pub(crate) fn to_planner(&mut self, event: PlannerEvent) {
+    pub(crate) fn tell_planner(&mut self, event: PlannerEvent) {
         let Some(planner) = &mut self.planner else {
             return;
         };
--- a/crates/standin/src/experiment/world.rs
+++ b/crates/standin/src/experiment/world.rs
@@ -172,8 +172,8 @@
 
     fn start_planner(&mut self) {
         let vms = (0..self.figures.vms as u32).map(VmId).collect();
-        self.to_planner(PlannerEvent::Vms(vms));
-        self.to_planner(PlannerEvent::Lead(true));
+        self.tell_planner(PlannerEvent::Vms(vms));
+        self.tell_planner(PlannerEvent::Lead(true));
         if !self.scenario.buys {
             return;
         }
@@ -182,11 +182,11 @@
             price_cents_per_hour: *price,
             reclaimable: *name == CHEAP,
         });
-        self.to_planner(PlannerEvent::Market {
+        self.tell_planner(PlannerEvent::Market {
             classes: classes.collect(),
             zones: (0..self.figures.zones).map(ZoneId).collect(),
         });
-        self.to_planner(PlannerEvent::Rules {
+        self.tell_planner(PlannerEvent::Rules {
             cents_per_hour: 10_000,
             reclaimable_share: RECLAIMABLE_SHARE,
         });
@@ -204,7 +204,7 @@
         let mut engine = Engine::new(id, zone, Role::Mixed, speed);
         engine.class = class;
         self.engines.push(engine);
-        self.to_planner(PlannerEvent::OrderSettled {
+        self.tell_planner(PlannerEvent::OrderSettled {
             class: class.into(),
         });
         self.announce_targets();
@@ -229,13 +229,13 @@
             leaving: false,
         });
         let fleet = fleet.collect();
-        self.to_planner(PlannerEvent::Targets(fleet));
+        self.tell_planner(PlannerEvent::Targets(fleet));
         for vm in 0..self.schedulers.len() {
             let event = SchedulerEvent::Targets {
                 targets: infos.clone(),
                 peers: self.figures.vms as u32 - 1,
             };
-            self.to_scheduler(vm, event);
+            self.tell_scheduler(vm, event);
         }
     }
 
@@ -316,11 +316,11 @@
         match happening {
             Happening::Arrive(request) => self.arrive(request),
             Happening::StepEnd(engine, incarnation) => self.step_ended(engine, incarnation),
-            Happening::ToVm(vm, event) => self.to_vm(vm, *event),
-            Happening::ToPlanner(event) => self.to_planner(*event),
+            Happening::ToVm(vm, event) => self.deliver_to_vm(vm, *event),
+            Happening::ToPlanner(event) => self.tell_planner(*event),
             Happening::VmTick(vm) => {
                 if self.policy.decides() {
-                    self.to_scheduler(vm, SchedulerEvent::Tick);
+                    self.tell_scheduler(vm, SchedulerEvent::Tick);
                     self.at(self.now + TICK, Happening::VmTick(vm));
                 }
             }
@@ -345,8 +345,8 @@
             .store_outage_s
             .is_some_and(|(a, b)| seconds >= a && seconds < b);
         // Without the store the lease lapses and nobody plans.
-        self.to_planner(PlannerEvent::Lead(!down));
-        self.to_planner(PlannerEvent::Tick);
+        self.tell_planner(PlannerEvent::Lead(!down));
+        self.tell_planner(PlannerEvent::Tick);
         self.at(self.now + TICK, Happening::PlannerTick);
     }
 
@@ -368,7 +368,7 @@
     pub(crate) fn is_paused(&self, position: usize) -> Option<Duration> {
         let (from, to) = self.scenario.engine_pause_s?;
         let seconds = self.now.as_secs_f64();
-        let paused = position % 2 == 0 && seconds >= from && seconds < to;
+        let paused = position.is_multiple_of(2) && seconds >= from && seconds < to;
         paused.then(|| Duration::from_secs_f64(to))
     }
 }
