Keep room free of workspaces over their share

Cause: a request of a workspace within its share found the engines filled by the noisy workspace's requests of other vms, since each vm only orders its own queue.

--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -38,6 +38,7 @@
     decode: Option<TargetId>,
     zone: ZoneId,
     uncached_tokens: u64,
+    wait_s: f64,
     fits: bool,
 }
 
@@ -55,8 +56,17 @@
 impl Scheduler {
     /// Finds the cheapest target with room for the request.
     pub(crate) fn place(&mut self, waiting: &Waiting, now: Duration) -> Result<Placement, Blocked> {
+        let arrival = &waiting.arrival;
+        let over = self
+            .queue
+            .is_over_share(arrival.priority, arrival.workspace);
+        let room = if over {
+            self.config.over_share_room
+        } else {
+            1.0
+        };
         let choices = match self.config.kind {
-            TargetKind::Engine => self.engine_choices(waiting, now),
+            TargetKind::Engine => self.engine_choices(waiting, room, now),
             TargetKind::Service => self.service_choices(waiting, now),
         };
         if choices.is_empty() {
@@ -143,7 +153,7 @@
         }
     }
 
-    fn engine_choices(&self, waiting: &Waiting, now: Duration) -> Vec<Choice> {
+    fn engine_choices(&self, waiting: &Waiting, room: f64, now: Duration) -> Vec<Choice> {
         let arrival = &waiting.arrival;
         let decode = self.best_decode(waiting, now);
         let left = waiting.deadline_at().saturating_sub(now).as_secs_f64();
@@ -160,6 +170,7 @@
                 }
             };
             let mut choice = choice;
+            choice.fits &= self.has_room(&choice, room);
             choice.fits &= choice.candidate.first_token.as_secs_f64() <= left;
             choices.push(choice);
         }
@@ -242,7 +253,6 @@
     ) -> Choice {
         let aim_ms = self.config.token_interval.as_secs_f64() * 1000.0;
         let slowdown = (interval_ms / aim_ms - COMFORTABLE).max(0.0);
-        let longest_wait_s = self.config.longest_target_wait.as_secs_f64();
         Choice {
             candidate: Candidate {
                 target: view.info.id,
@@ -254,7 +264,8 @@
             decode: None,
             zone: view.info.zone,
             uncached_tokens,
-            fits: wait_s <= longest_wait_s && interval_ms <= self.interval_aim_ms(),
+            wait_s,
+            fits: true,
         }
     }
 
@@ -273,6 +284,7 @@
                 decode: None,
                 zone: view.info.zone,
                 uncached_tokens: 0,
+                wait_s: 0.0,
                 fits: load < self.config.service_concurrency,
             });
         }
@@ -298,6 +310,15 @@
         step_ms + (view.duty + added).min(1.0) * rates.chunk_ms()
     }
 
+    /// Whether the wait and the batch stay within a part of the limits. A batch that is empty has
+    /// room for everyone.
+    fn has_room(&self, choice: &Choice, room: f64) -> bool {
+        let longest_wait_s = self.config.longest_target_wait.as_secs_f64();
+        let base_ms = self.config.rates.step_base_ms;
+        let interval_ms = base_ms + room * (self.interval_aim_ms() - base_ms);
+        choice.wait_s <= room * longest_wait_s && choice.candidate.token_interval_ms <= interval_ms
+    }
+
     fn interval_aim_ms(&self) -> f64 {
         self.config.token_interval.as_secs_f64() * 1000.0 * self.config.interval_margin
     }
--- a/crates/core/src/scheduler/queue.rs
+++ b/crates/core/src/scheduler/queue.rs
@@ -30,6 +30,8 @@
     /// Virtual time up to which the workspace has been served, here and elsewhere.
     served_until: f64,
     received_s: f64,
+    /// Service here and elsewhere, with older service counting less.
+    recent_s: f64,
     elsewhere: BTreeMap<VmId, f64>,
     waiting: VecDeque<Waiting>,
     backlog_s: f64,
@@ -48,6 +50,8 @@
     classes: BTreeMap<Priority, Class>,
 }
 
+/// Factor by which service exceeds an equal share before a workspace counts as over it.
+const OVER_SHARE: f64 = 1.5;
 /// Factor by which the memory of service per priority shrinks with each tick.
 const RECENT_DECAY: f64 = 0.99;
 
@@ -144,7 +148,9 @@
             };
             // The first figure of a peer is where counting starts; a smaller one shows a restart.
             let last = space.elsewhere.insert(from, total_s).unwrap_or(total_s);
-            space.served_until += (total_s - last).max(0.0) / space.weight;
+            let received_s = (total_s - last).max(0.0);
+            space.served_until += received_s / space.weight;
+            space.recent_s += received_s;
         }
     }
 
@@ -200,6 +206,22 @@
         removed
     }
 
+    /// Whether a workspace has lately received clearly more than an equal share, by weight, of its
+    /// priority's service.
+    pub(crate) fn is_over_share(&self, priority: Priority, workspace: WorkspaceId) -> bool {
+        let Some(class) = self.classes.get(&priority) else {
+            return false;
+        };
+        let Some(own) = class.spaces.get(&workspace) else {
+            return false;
+        };
+        let active = || class.spaces.values().filter(|s| s.recent_s > 0.0);
+        let (service, weights) = active().fold((0.0, 0.0), |(s, w), space| {
+            (s + space.recent_s, w + space.weight)
+        });
+        own.recent_s * weights > OVER_SHARE * service * own.weight
+    }
+
     pub(crate) fn remove(&mut self, request: RequestId) -> bool {
         !self.remove_if(|w| w.arrival.request == request).is_empty()
     }
@@ -207,6 +229,10 @@
     pub(crate) fn tick(&mut self) {
         for class in self.classes.values_mut() {
             class.recent_s *= RECENT_DECAY;
+            class
+                .spaces
+                .values_mut()
+                .for_each(|s| s.recent_s *= RECENT_DECAY);
         }
     }
 }
@@ -215,5 +241,6 @@
     fn charge(&mut self, work_s: f64) {
         self.served_until += work_s / self.weight;
         self.received_s += work_s;
+        self.recent_s = (self.recent_s + work_s).max(0.0);
     }
 }
--- a/crates/standin/src/experiment/outcome.rs
+++ b/crates/standin/src/experiment/outcome.rs
@@ -20,7 +20,9 @@
     pub(crate) offered_per_s: f64,
     /// Whole answers within the aims per second.
     pub(crate) goodput_per_s: f64,
-    /// Smallest part of its fair share that a workspace received.
+    /// Part of its fair share that each workspace received.
+    pub(crate) shares: Vec<f64>,
+    /// Smallest of the shares.
     pub(crate) worst_share: f64,
     /// Role changes.
     pub(crate) role_changes: u32,
@@ -59,12 +61,14 @@
     }
     let late = |p: &&Progress| p.first_token_at.is_some() && !in_time(p, &world);
     let slow = |p: &&Progress| in_time(p, &world) && !even(p, &world);
+    let shares = shares(scenario, &world.requests, &good);
     Outcome {
+        worst_share: shares.iter().copied().fold(f64::MAX, f64::min),
+        shares,
         policy: policy.to_string(),
         seed,
         offered_per_s: world.requests.len() as f64 / scenario.duration_s,
         goodput_per_s: good.len() as f64 / scenario.duration_s,
-        worst_share: worst_share(scenario, &world.requests, &good),
         role_changes: world.role_changes,
         cut: world.cut,
         refused: world.refused,
@@ -93,7 +97,7 @@
 
 /// Fair shares divide a fixed capacity: nobody gets more than it asks for, and what is left is
 /// divided equally.
-fn worst_share(scenario: &Scenario, all: &[Progress], good: &[&Progress]) -> f64 {
+fn shares(scenario: &Scenario, all: &[Progress], good: &[&Progress]) -> Vec<f64> {
     let work = |of: &mut dyn Iterator<Item = &Progress>| {
         let mut sums = [0.0; WORKSPACES];
         of.for_each(|p| sums[p.spec.workspace] += p.spec.work_s());
@@ -108,7 +112,7 @@
         .zip(served)
         .filter(|(offered, _)| **offered > 0.0)
         .map(|(offered, served)| served / offered.min(level))
-        .fold(f64::MAX, f64::min)
+        .collect()
 }
 
 fn fair_level(offered: &[f64; WORKSPACES], capacity: f64) -> f64 {
