--- a/crates/core/src/scheduler/config.rs
+++ b/crates/core/src/scheduler/config.rs
@@ -34,7 +34,7 @@
     /// Longest predicted wait at a target. Longer waits are spent in the vm's queue, where
     /// fairness and priorities apply.
     pub longest_target_wait: Duration,
-    /// Part of the room at targets that a workspace over its share may use. The rest stays free
+    /// Part of the room at targets that a workspace far over its share may use. The rest stays free
     /// for others, whose requests may arrive at any vm.
     pub over_share_room: f64,
     /// Requests that one workspace may have in the queue.
@@ -73,7 +73,7 @@
             token_interval: Duration::from_millis(56),
             interval_margin: 0.92,
             longest_target_wait: Duration::from_millis(400),
-            over_share_room: 0.6,
+            over_share_room: 0.7,
             queue_limit: 256,
             low_priority_share: 0.05,
             output_token_cost: Duration::from_micros(1000),
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -50,6 +50,9 @@
 const ROLE_MISMATCH_COST: f64 = 0.05;
 /// Costs closer together than this are not told apart.
 const COST_GRAIN_S: f64 = 0.02;
+/// Multiple of an equal share at which a workspace's room begins to shrink. At twice that, it is
+/// smallest. A large workspace among small ones stays below.
+const OVER_SHARE: f64 = 1.5;
 /// Time over which a long prompt counts towards the share of time spent on prefill.
 const DUTY_HORIZON_S: f64 = 5.0;
 
@@ -57,14 +60,9 @@
     /// Finds the cheapest target with room for the request.
     pub(crate) fn place(&mut self, waiting: &Waiting, now: Duration) -> Result<Placement, Blocked> {
         let arrival = &waiting.arrival;
-        let over = self
-            .queue
-            .is_over_share(arrival.priority, arrival.workspace);
-        let room = if over {
-            self.config.over_share_room
-        } else {
-            1.0
-        };
+        let ratio = self.queue.share_ratio(arrival.priority, arrival.workspace);
+        let over = ((ratio - OVER_SHARE) / OVER_SHARE).clamp(0.0, 1.0);
+        let room = 1.0 - over * (1.0 - self.config.over_share_room);
         let choices = match self.config.kind {
             TargetKind::Engine => self.engine_choices(waiting, room, now),
             TargetKind::Service => self.service_choices(waiting, now),
--- a/crates/core/src/scheduler/queue.rs
+++ b/crates/core/src/scheduler/queue.rs
@@ -50,8 +50,6 @@
     classes: BTreeMap<Priority, Class>,
 }
 
-/// Factor by which service exceeds an equal share before a workspace counts as over it.
-const OVER_SHARE: f64 = 1.5;
 /// Factor by which the memory of service per priority shrinks with each tick.
 const RECENT_DECAY: f64 = 0.99;
 
@@ -206,20 +204,20 @@
         removed
     }
 
-    /// Whether a workspace has lately received clearly more than an equal share, by weight, of its
+    /// Service that a workspace has lately received, relative to an equal share by weight of its
     /// priority's service.
-    pub(crate) fn is_over_share(&self, priority: Priority, workspace: WorkspaceId) -> bool {
+    pub(crate) fn share_ratio(&self, priority: Priority, workspace: WorkspaceId) -> f64 {
         let Some(class) = self.classes.get(&priority) else {
-            return false;
+            return 0.0;
         };
         let Some(own) = class.spaces.get(&workspace) else {
-            return false;
+            return 0.0;
         };
         let active = || class.spaces.values().filter(|s| s.recent_s > 0.0);
         let (service, weights) = active().fold((0.0, 0.0), |(s, w), space| {
             (s + space.recent_s, w + space.weight)
         });
-        own.recent_s * weights > OVER_SHARE * service * own.weight
+        own.recent_s * weights / f64::max(service * own.weight, f64::MIN_POSITIVE)
     }
 
     pub(crate) fn remove(&mut self, request: RequestId) -> bool {
