--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,14 +6,18 @@
 
 pub mod authority;
 mod clock;
+pub mod fleet;
 mod ids;
 pub mod invariant;
+pub mod lengths;
+pub mod limits;
 mod machine;
 pub mod membership;
 pub mod once;
 pub mod peer;
 pub mod quarantine;
 pub mod request;
+pub mod scheduler;
 pub mod settings;
 pub mod store;
 pub mod targets;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -2,10 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::RouteId;
+use crate::limits::LimitDigest;
 use crate::membership;
 use crate::once::OnceMessage;
 use crate::quarantine::QuarantineMessage;
+use crate::scheduler::Digest;
 use crate::settings::replica;
+use crate::targets::TargetNews;
 use crate::usage::UsageMessage;
 
 /// A message from one vm to another. Each machine that talks to other vms has a variant.
@@ -23,4 +27,15 @@
     Quarantine(QuarantineMessage),
     /// Counting of usage.
     Usage(UsageMessage),
+    /// Work, demand and closed targets of one route at the sender.
+    Scheduler {
+        /// Route that the digest describes.
+        route: RouteId,
+        /// The digest.
+        digest: Digest,
+    },
+    /// Demand and use of limits at the sender.
+    Limits(LimitDigest),
+    /// Load reports and cache events that the sender read from targets.
+    Targets(Vec<TargetNews>),
 }
--- a/crates/jujubebeam/src/control.rs
+++ b/crates/jujubebeam/src/control.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use crate::context::Context;
+use crate::dispatch;
 use crate::shared::Shared;
 
 /// Starts all control tasks on the calling thread.
@@ -19,4 +20,5 @@
     loads::start(&context);
     authority::start(&context);
     usage::start(&context);
+    dispatch::start(&context);
 }
--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -11,6 +11,7 @@
 use crate::control::authority::Orders;
 use crate::control::usage;
 use crate::control::{membership, settings};
+use crate::dispatch;
 use crate::part::feed;
 use crate::{caller, crashes, ledger};
 
@@ -53,6 +54,14 @@
     });
 }
 
+/// Sends messages to all other vms of the list.
+pub(crate) fn send_to_all(context: &Context, messages: &[PeerMessage]) {
+    let own = context.shared.config.vm;
+    for vm in context.shared.vms().vms.iter().filter(|v| v.vm != own) {
+        send(context, vm.vm, messages.to_vec());
+    }
+}
+
 async fn receive(context: web::types::State<Context>, body: Bytes) -> HttpResponse {
     let envelope: Envelope<PeerMessage> = match decode(&body) {
         Ok(envelope) => envelope,
@@ -94,6 +103,20 @@
 /// Hands a message to its machine. The returned message is sent back in the same exchange.
 fn deliver(context: &Context, from: VmId, message: PeerMessage) -> Option<PeerMessage> {
     match message {
+        PeerMessage::Scheduler { route, digest } => {
+            dispatch::hear_digest(&context.shared, from, route, digest);
+            None
+        }
+        PeerMessage::Limits(digest) => {
+            dispatch::hear_limits(&context.shared, from, digest);
+            None
+        }
+        PeerMessage::Targets(news) => {
+            for news in news {
+                dispatch::hear_news(&context.shared, news);
+            }
+            None
+        }
         PeerMessage::Ping => {
             log::trace!("vm: ping from {from}");
             None
--- a/crates/jujubebeam/src/shared.rs
+++ b/crates/jujubebeam/src/shared.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use jujubebeam_core::authority::{Authority, Holder};
 use jujubebeam_core::settings::Snapshot;
 use jujubebeam_core::targets::LoadReport;
 use jujubebeam_core::usage::{UsageMeter, WindowCloser};
-use jujubebeam_core::{Incarnation, RequestId, SystemClock, TargetId, VmId};
+use jujubebeam_core::{Clock, Incarnation, RequestId, SystemClock, TargetId, VmId};
 use jujubebeam_vmlist::VmList;
 use tokio::sync::oneshot;
 
@@ -18,6 +18,7 @@
 use crate::control::settings::SettingsState;
 use crate::control::usage;
 use crate::crashes::CrashShards;
+use crate::dispatch::Dispatcher;
 use crate::ledger::OnceShards;
 use crate::process_config::ProcessConfig;
 use crate::running::{RunningCounter, RunningGuard};
@@ -38,7 +39,7 @@
     running: RunningCounter,
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     vms: RwLock<Arc<VmList>>,
-    loads: RwLock<HashMap<TargetId, LoadReport>>,
+    loads: RwLock<HashMap<TargetId, (LoadReport, Duration)>>,
     next_serial: AtomicU64,
     /// Requests that may run at most once.
     pub(crate) once: OnceShards,
@@ -51,6 +52,8 @@
     /// Closing of usage windows.
     pub(crate) window_closer: Mutex<WindowCloser>,
     usage_waiters: Mutex<HashMap<u64, oneshot::Sender<()>>>,
+    /// Schedulers of all routes and the limits of workspaces.
+    pub(crate) dispatcher: Dispatcher,
 }
 
 impl Shared {
@@ -79,6 +82,7 @@
             vms: RwLock::new(Arc::new(VmList::default())),
             loads: RwLock::new(HashMap::new()),
             next_serial: AtomicU64::new(1),
+            dispatcher: Dispatcher::default(),
         }
     }
 
@@ -104,14 +108,22 @@
 
     /// Last load report of a target.
     pub(crate) fn load(&self, target: TargetId) -> Option<LoadReport> {
-        read(&self.loads).get(&target).cloned()
+        read(&self.loads)
+            .get(&target)
+            .map(|(report, _)| report.clone())
+    }
+
+    /// Time since the last load report of a target arrived.
+    pub(crate) fn load_age(&self, target: TargetId) -> Option<Duration> {
+        let heard_at = read(&self.loads).get(&target)?.1;
+        Some(self.clock.now().saturating_sub(heard_at))
     }
 
     /// Stores or removes the load report of a target.
     pub(crate) fn set_load(&self, target: TargetId, report: Option<LoadReport>) {
         let mut loads = write(&self.loads);
         match report {
-            Some(report) => loads.insert(target, report),
+            Some(report) => loads.insert(target, (report, self.clock.now())),
             None => loads.remove(&target),
         };
     }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod echo;
 mod engine;
+mod experiment;
 mod fault_cli;
 mod load;
 mod overhead;
