--- a/crates/jujubebeam/src/cli.rs
+++ b/crates/jujubebeam/src/cli.rs
@@ -52,10 +52,21 @@
     5  the change was accepted, but `--wait` ran out of time
 ";
 
+/// Which options a command has beside its own.
+enum Shared {
+    /// None.
+    None,
+    /// Address and output.
+    Read,
+    /// Address, output and waiting for a change.
+    Change,
+}
+
 /// A command with its help text.
 struct Command {
     name: &'static str,
     help: &'static str,
+    shared: Shared,
     run: fn(Arguments) -> CliResult,
 }
 
@@ -64,46 +75,55 @@
     Command {
         name: "run",
         help: run::HELP,
+        shared: Shared::None,
         run: run::run,
     },
     Command {
         name: "check",
         help: check::HELP,
+        shared: Shared::None,
         run: check::run,
     },
     Command {
         name: "workspace",
         help: workspace::HELP,
+        shared: Shared::Change,
         run: workspace::run,
     },
     Command {
         name: "key",
         help: key::HELP,
+        shared: Shared::Change,
         run: key::run,
     },
     Command {
         name: "limit",
         help: limit::HELP,
+        shared: Shared::Change,
         run: limit::run,
     },
     Command {
         name: "rule",
         help: rule::HELP,
+        shared: Shared::Change,
         run: rule::run,
     },
     Command {
         name: "change",
         help: change::HELP,
+        shared: Shared::Change,
         run: change::run,
     },
     Command {
         name: "status",
         help: status::HELP,
+        shared: Shared::Read,
         run: status::run,
     },
     Command {
         name: "explain",
         help: explain::HELP,
+        shared: Shared::Read,
         run: explain::run,
     },
 ];
@@ -137,8 +157,22 @@
             .attach(format!("unknown command {name:?}; see `jujubebeam --help`")));
     };
     if wants_help {
-        print!("{}", command.help);
+        print_help(command);
         return Ok(());
     }
     (command.run)(args)
 }
+
+fn print_help(command: &Command) {
+    print!("{}", command.help);
+    match command.shared {
+        Shared::None => {}
+        Shared::Read => print!("\n{}\n{}", client::READ_OPTIONS, client::KEY_NOTE),
+        Shared::Change => print!(
+            "\n{}{}\n{}",
+            client::READ_OPTIONS,
+            client::WAIT_OPTIONS,
+            client::KEY_NOTE
+        ),
+    }
+}
--- a/crates/jujubebeam/src/cli/change.rs
+++ b/crates/jujubebeam/src/cli/change.rs
@@ -22,12 +22,6 @@
 OPTIONS:
     --subtree SUBTREE   fleet or teams/TEAM.
     --revision N        Revision that the change is based on; `put` reads it if it is left out.
-    --address IP:PORT   Any vm; default is the variable JUJUBEBEAM_ADDRESS.
-    --output FORM       text (default) or json.
-    --wait              Waits until every live vm has the change in force.
-    --timeout-s N       Longest wait; default 10.
-
-The operators' key is read from the variable JUJUBEBEAM_OPERATOR_KEY.
 ";
 
 /// Runs the command.
--- a/crates/jujubebeam/src/cli/client.rs
+++ b/crates/jujubebeam/src/cli/client.rs
@@ -22,6 +22,21 @@
 use super::failure::{CliResult, Failure};
 use super::output::Output;
 
+/// Help for the options of all commands that use the operator API.
+pub(crate) const READ_OPTIONS: &str = "\
+SHARED OPTIONS:
+    --address IP:PORT   Any vm; default is the variable JUJUBEBEAM_ADDRESS.
+    --output FORM       text (default) or json.
+";
+/// Help for the options of commands that change settings.
+pub(crate) const WAIT_OPTIONS: &str = concat!(
+    "    --wait              Waits until every live vm has the change in force.\n",
+    "    --timeout-s N       Longest wait; default 10.\n",
+);
+/// Help on the operators' key.
+pub(crate) const KEY_NOTE: &str =
+    "The operators' key is read from the variable JUJUBEBEAM_OPERATOR_KEY.\n";
+
 /// Variable with the address of any vm.
 const ADDRESS_VARIABLE: &str = "JUJUBEBEAM_ADDRESS";
 /// Variable with the operators' key. A command line option would show it to other users.
--- a/crates/jujubebeam/src/cli/explain.rs
+++ b/crates/jujubebeam/src/cli/explain.rs
@@ -13,12 +13,8 @@
 USAGE:
     jujubebeam explain REQUEST
 
-OPTIONS:
+ARGUMENTS:
     REQUEST             Value of the `x-request-id` header of the answer.
-    --address IP:PORT   Vm that served the request; default is the variable JUJUBEBEAM_ADDRESS.
-    --output FORM       text (default) or json.
-
-The operators' key is read from the variable JUJUBEBEAM_OPERATOR_KEY.
 ";
 
 /// Runs the command.
--- a/crates/jujubebeam/src/cli/key.rs
+++ b/crates/jujubebeam/src/cli/key.rs
@@ -19,14 +19,6 @@
     jujubebeam key create   --team TEAM --workspace NAME --name KEY_NAME
     jujubebeam key withdraw --team TEAM --workspace NAME --name KEY_NAME
     jujubebeam key hash     < FILE_WITH_KEY
-
-OPTIONS:
-    --address IP:PORT   Any vm; default is the variable JUJUBEBEAM_ADDRESS.
-    --output FORM       text (default) or json.
-    --wait              Waits until every live vm has the change in force.
-    --timeout-s N       Longest wait; default 10.
-
-The operators' key is read from the variable JUJUBEBEAM_OPERATOR_KEY.
 ";
 
 const KEY_BYTES: usize = 32;
--- a/crates/jujubebeam/src/cli/limit.rs
+++ b/crates/jujubebeam/src/cli/limit.rs
@@ -19,14 +19,6 @@
     --concurrent-requests N       Requests at the same time.
     --budget-cents-per-day N      Cost of use per day.
     --capacity-cents-per-hour N   Most that bought capacity may cost; 0 forbids buying.
-
-OPTIONS:
-    --address IP:PORT   Any vm; default is the variable JUJUBEBEAM_ADDRESS.
-    --output FORM       text (default) or json.
-    --wait              Waits until every live vm has the change in force.
-    --timeout-s N       Longest wait; default 10.
-
-The operators' key is read from the variable JUJUBEBEAM_OPERATOR_KEY.
 ";
 
 /// Runs the command.
--- a/crates/jujubebeam/src/cli/rule.rs
+++ b/crates/jujubebeam/src/cli/rule.rs
@@ -16,12 +16,6 @@
 OPTIONS:
     --mode MODE          move running requests to another target, or wait until they end.
     --longest-wait-s N   Time after which a change that still waits is postponed.
-    --address IP:PORT    Any vm; default is the variable JUJUBEBEAM_ADDRESS.
-    --output FORM        text (default) or json.
-    --wait               Waits until every live vm has the change in force.
-    --timeout-s N        Longest wait; default 10.
-
-The operators' key is read from the variable JUJUBEBEAM_OPERATOR_KEY.
 ";
 
 /// Runs the command.
--- a/crates/jujubebeam/src/cli/run.rs
+++ b/crates/jujubebeam/src/cli/run.rs
@@ -1,6 +1,9 @@
 //! `jujubebeam run`
 
+use std::io;
+
 use error_stack::Report;
+use flexi_logger::DeferredNow;
 use pico_args::Arguments;
 
 use super::arguments::{bad_input, finish, required};
@@ -38,7 +41,17 @@
     // Libraries log their own start-up at `info`, which would bury the daemon's lines.
     let filter = format!("warn,jujubebeam={level}");
     flexi_logger::Logger::try_with_str(&filter)
-        .and_then(|logger| logger.format(flexi_logger::opt_format).start())
+        .and_then(|logger| logger.format(format_line).start())
         .map(|_| ())
         .map_err(|e| bad_input(format!("log.level {level:?}: {e}")))
 }
+
+/// Time, level and sentence. The sentence's prefix names the part, so the module is left out.
+fn format_line(
+    writer: &mut dyn io::Write,
+    now: &mut DeferredNow,
+    record: &log::Record<'_>,
+) -> io::Result<()> {
+    let time = now.format_rfc3339();
+    write!(writer, "{time} {} {}", record.level(), record.args())
+}
--- a/crates/jujubebeam/src/cli/status.rs
+++ b/crates/jujubebeam/src/cli/status.rs
@@ -11,12 +11,6 @@
 
 USAGE:
     jujubebeam status
-
-OPTIONS:
-    --address IP:PORT   Any vm; default is the variable JUJUBEBEAM_ADDRESS.
-    --output FORM       text (default) or json.
-
-The operators' key is read from the variable JUJUBEBEAM_OPERATOR_KEY.
 ";
 
 /// Runs the command.
--- a/crates/jujubebeam/src/cli/workspace.rs
+++ b/crates/jujubebeam/src/cli/workspace.rs
@@ -22,12 +22,6 @@
 OPTIONS:
     --priority P        batch, normal (default), interactive or critical.
     --weight N          Share within the priority; default 1.
-    --address IP:PORT   Any vm; default is the variable JUJUBEBEAM_ADDRESS.
-    --output FORM       text (default) or json.
-    --wait              Waits until every live vm has the change in force.
-    --timeout-s N       Longest wait; default 10.
-
-The operators' key is read from the variable JUJUBEBEAM_OPERATOR_KEY.
 ";
 
 /// Runs the command.
--- a/crates/standin/src/up/example.rs
+++ b/crates/standin/src/up/example.rs
@@ -9,6 +9,8 @@
 
 /// Key of the example workspace.
 pub(crate) const KEY: &str = "jbk-example-kits-north";
+/// Operators' key of the example vms.
+pub(crate) const OPERATOR_KEY: &str = "jbo-example-operator";
 /// Model that the example engines serve.
 pub(crate) const MODEL: &str = "darn-7b";
 /// Body of the example chat request.
@@ -139,8 +141,12 @@
         format!(
             "vm: {}\nzone: {}\ncaller_address: {}\npeer_address: {}\nplatform:\n  \
              store: {platform}\n  vm_list: {platform}\n  ordering: {platform}\n  \
-             usage: {platform}\n  weights: {platform}\n",
-            vm.id, vm.zone, vm.caller, vm.peer
+             usage: {platform}\n  weights: {platform}\noperator_key_sha256: {}\n",
+            vm.id,
+            vm.zone,
+            vm.caller,
+            vm.peer,
+            KeyHash::of_key(OPERATOR_KEY).to_hex()
         )
     }
 
@@ -156,7 +162,9 @@
              curl -N http://{first}/v1/chat/completions -H 'Authorization: Bearer {KEY}' \
              -d '{CHAT_BODY}'\n  \
              curl http://{first}/checkout/orders -H 'Authorization: Bearer {KEY}' \
-             -H 'Idempotency-Key: order-1' -d '{CHECKOUT_BODY}'\n\nCtrl-C stops everything.\n"
+             -H 'Idempotency-Key: order-1' -d '{CHECKOUT_BODY}'\n\nAs an operator:\n  \
+             export JUJUBEBEAM_ADDRESS={first} JUJUBEBEAM_OPERATOR_KEY={OPERATOR_KEY}\n  \
+             cargo run --release -p jujubebeam -- status\n\nCtrl-C stops everything.\n"
         ));
         text
     }
