Release the last mixed target and keep three percent bought

Ruled out: a biased estimate of need, which follows the offered work. Prefill and decode targets together stand in for a mixed one, so a release may take it. Role changes still keep the last of each role.

Since capacity arrives a start time late, some load in the rise is not served.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -228,6 +228,19 @@
         })
     }
 
+    /// Whether the others can still serve everything without this target. Prefill and decode
+    /// engines together stand in for a mixed one.
+    fn may_be_released(&self, id: TargetId) -> bool {
+        let mixed = self.targets.get(&id).is_some_and(|t| t.role == Role::Mixed);
+        let left = |role| {
+            let others = self.targets.iter().filter(|(other, _)| **other != id);
+            others
+                .filter(|(other, _)| !self.changes.contains_key(other))
+                .any(|(_, t)| t.role == role && t.state == TargetState::Serving)
+        };
+        (mixed && left(Role::Prefill) && left(Role::Decode)) || self.may_leave_role(id)
+    }
+
     fn advance_changes(&mut self, now: Duration, out: &mut Vec<PlannerCommand>) {
         let ids: Vec<TargetId> = self.changes.keys().copied().collect();
         for id in ids {
--- a/crates/core/src/fleet/capacity.rs
+++ b/crates/core/src/fleet/capacity.rs
@@ -9,7 +9,7 @@
 impl Planner {
     /// Buys one target if demand has exceeded capacity for long enough and rules pay for it.
     pub(crate) fn consider_buying(&mut self, now: Duration, out: &mut Vec<PlannerCommand>) {
-        let needed = self.history.average_total();
+        let needed = self.history.average_total() * (1.0 + self.config.bought_headroom);
         let present = self.targets.len() + self.ordered.len();
         if needed <= present as f64 {
             self.short_since = None;
@@ -76,7 +76,7 @@
 
     /// Starts the release of the dearest ordered target after demand has not needed it for long.
     pub(crate) fn consider_release(&mut self, now: Duration) {
-        let needed = self.history.average_total();
+        let needed = self.history.average_total() * (1.0 + self.config.bought_headroom);
         let left = self.targets.len().saturating_sub(1);
         if needed > left as f64 || !self.ordered.is_empty() {
             self.spare_since = None;
@@ -98,7 +98,7 @@
         let price = |name: &str| self.class(name).map(|c| c.price_cents_per_hour);
         self.targets
             .iter()
-            .filter(|(id, _)| !self.changes.contains_key(id) && self.may_leave_role(**id))
+            .filter(|(id, _)| !self.changes.contains_key(id) && self.may_be_released(**id))
             .filter_map(|(id, t)| Some((price(&t.spec.class)?, *id)))
             .max()
             .map(|(_, id)| id)
--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -44,8 +44,10 @@
     pub release_after: Duration,
     /// Time over which demand is averaged before it is compared with capacity.
     pub capacity_window: Duration,
-    /// Spare capacity that is kept, relative to demand.
+    /// Spare capacity for which roles are planned, relative to demand.
     pub headroom: f64,
+    /// Spare capacity that is bought, relative to demand.
+    pub bought_headroom: f64,
     /// Largest share of targets that may be lost with the cheap classes of one zone.
     pub zone_loss_share: f64,
     /// Rate of the weight store.
@@ -75,6 +77,7 @@
             release_after: Duration::from_secs(60),
             capacity_window: Duration::from_secs(30),
             headroom: 0.1,
+            bought_headroom: 0.03,
             zone_loss_share: 0.34,
             weight_bytes_per_s: 1e9,
             digest_expiry: Duration::from_secs(1),
