--- a/crates/core/tests/fleet_planner.rs
+++ b/crates/core/tests/fleet_planner.rs
@@ -148,9 +148,10 @@
     let mut changes = 0;
     for swing in 0..40 {
         let high = swing % 2 == 0;
+        // Each extreme alone exceeds what the present roles serve.
         fleet.demand(
-            if high { 36_000.0 } else { 18_000.0 },
-            if high { 1800.0 } else { 3600.0 },
+            if high { 46_000.0 } else { 6000.0 },
+            if high { 600.0 } else { 4700.0 },
         );
         changes += orders(&fleet.run(15));
     }
@@ -166,6 +167,21 @@
     fleet.demand(52_000.0, 500.0);
     assert_eq!(orders(&fleet.run(30)), 0, "vm 1 has said nothing");
 
+    let open = Digest::default();
+    for _ in 0..100 {
+        fleet.now += Duration::from_millis(100);
+        fleet.step(PlannerEvent::Digest {
+            from: VmId(0),
+            digest: fleet.digest.clone(),
+        });
+        fleet.step(PlannerEvent::Digest {
+            from: VmId(1),
+            digest: open.clone(),
+        });
+        let commands = fleet.step(PlannerEvent::Tick);
+        assert_eq!(orders(&commands), 0, "vm 1 may still send work there");
+    }
+
     fleet.step(PlannerEvent::Vms(vec![VmId(0)]));
     let busy = TargetLoad {
         streams: 1,
--- a/crates/standin/src/experiment/summary.rs
+++ b/crates/standin/src/experiment/summary.rs
@@ -113,7 +113,7 @@
     for s in summaries {
         text.push_str(&format!(
             "| {} | {:.2} | {:.2} | {:.2} | {:.3} | {:.3} | {:.3} | {:.3} | {} | {} | {} | {} | \
-             {} | {} | {:.2} | {:.2} | {:.2} |\n",
+             {} | {} | {} | {} | {:.2} |\n",
             s.policy,
             s.offered_median,
             s.goodput_median,
@@ -128,14 +128,23 @@
             s.late_median,
             s.slow_median,
             s.cut_worst,
-            s.spent_to_least_median,
-            s.spent_to_least_worst,
+            ratio(s.spent_to_least_median),
+            ratio(s.spent_to_least_worst),
             s.length_error_median,
         ));
     }
     text
 }
 
+/// Experiments in which nothing is bought have no ratio.
+fn ratio(value: f64) -> String {
+    if value.is_finite() {
+        format!("{value:.2}")
+    } else {
+        "-".into()
+    }
+}
+
 /// Plots the goodput of the first seed over time.
 pub(crate) fn plot(
     path: &Path,
