Let waiting requests follow a scheduler that settings replace

Cause: a request that waited in a scheduler whose route had changed got no more ticks or reports and could wait for ever. Waiters of a replaced scheduler now ask its successor; a scheduler is replaced only if its own settings change.

--- a/crates/jujubebeam/src/dispatch.rs
+++ b/crates/jujubebeam/src/dispatch.rs
@@ -142,6 +142,9 @@
     });
 }
 
+/// Schedulers that one request asks in turn while changed settings replace them.
+const LONGEST_REPLACEMENTS: usize = 4;
+
 /// Waits until the request may run and returns its target, or the final refusal.
 pub(crate) async fn acquire(
     context: &Context,
@@ -149,11 +152,37 @@
     ask: &Ask<'_>,
 ) -> Result<Permit, CallerError> {
     let shared = &context.shared;
-    let dispatcher = &shared.dispatcher;
-    let route = dispatcher.route(ask.route.id).ok_or_else(|| no_target(2))?;
     check_limits(shared, ask)?;
+    for _ in 0..LONGEST_REPLACEMENTS {
+        let Some(route) = shared.dispatcher.route(ask.route.id) else {
+            break;
+        };
+        let (attempt, verdict) = wait(shared, route, ask).await;
+        match verdict {
+            Some(Verdict::Run { target }) => {
+                let target = snapshot.targets.get(&target).cloned();
+                let target = target.ok_or_else(|| no_target(1))?;
+                return Ok(Permit { target, attempt });
+            }
+            Some(Verdict::Refuse { kind, retry_after }) => return Err(refusal(kind, retry_after)),
+            // The dropped attempt gives back what the limiter counted.
+            None => admit_again(shared, ask),
+        }
+    }
+    if let Some(workspace) = ask.workspace {
+        shared.dispatcher.limiter().finish(workspace.id, 0, 0);
+    }
+    Err(no_target(2))
+}
+
+/// Waits for the verdict of one scheduler; `None` means that the scheduler was replaced.
+async fn wait(
+    shared: &Arc<Shared>,
+    route: Arc<RouteScheduler>,
+    ask: &Ask<'_>,
+) -> (Attempt, Option<Verdict>) {
     let id = shared.new_request_id();
-    dispatcher.remember(ask.request, id, ask.route.id);
+    shared.dispatcher.remember(ask.request, id, ask.route.id);
     let verdict = route.wait(id);
     let mut attempt = Attempt {
         shared: Arc::clone(shared),
@@ -165,16 +194,14 @@
         finished: None,
     };
     attempt.feed(SchedulerEvent::Arrival(arrival(id, ask)));
-    let verdict = verdict.await;
+    let verdict = verdict.await.ok();
     attempt.waits = false;
-    match verdict {
-        Ok(Verdict::Run { target }) => {
-            let target = snapshot.targets.get(&target).cloned();
-            let target = target.ok_or_else(|| no_target(1))?;
-            Ok(Permit { target, attempt })
-        }
-        Ok(Verdict::Refuse { kind, retry_after }) => Err(refusal(kind, retry_after)),
-        Err(_) => Err(no_target(1)),
+    (attempt, verdict)
+}
+
+fn admit_again(shared: &Shared, ask: &Ask<'_>) {
+    if let Some(workspace) = ask.workspace {
+        shared.dispatcher.limiter().admit_again(workspace.id);
     }
 }
 
@@ -185,7 +212,8 @@
     let mut limiter = shared.dispatcher.limiter();
     // A further attempt of an admitted request must not fail for a limit.
     if !ask.excluded.is_empty() {
-        limiter.admit_again(workspace.id);
+        drop(limiter);
+        admit_again(shared, ask);
         return Ok(());
     }
     let now = shared.clock.now();
--- a/crates/jujubebeam/src/dispatch/dispatcher.rs
+++ b/crates/jujubebeam/src/dispatch/dispatcher.rs
@@ -33,12 +33,16 @@
     },
 }
 
+type Waiters = HashMap<RequestId, oneshot::Sender<Verdict>>;
+
 /// Scheduler of one route. Permits keep it while their requests run, even if settings replace it.
 #[derive(Debug)]
 pub(crate) struct RouteScheduler {
-    route: RouteSpec,
+    group: usize,
+    config: SchedulerConfig,
     scheduler: Mutex<Scheduler>,
-    waiters: Mutex<HashMap<RequestId, oneshot::Sender<Verdict>>>,
+    /// `None` once the scheduler is replaced.
+    waiters: Mutex<Option<Waiters>>,
 }
 
 /// Requests whose attempts are remembered for `explain`.
@@ -66,43 +70,40 @@
 }
 
 impl RouteScheduler {
-    fn new(shared: &Shared, snapshot: &Snapshot, route: &RouteSpec) -> Self {
-        let settings = &route.settings;
-        let config = SchedulerConfig {
-            route: route.id,
-            vm: shared.config.vm,
-            zone: snapshot
-                .zone(&shared.config.zone)
-                .unwrap_or(ZoneId(u16::MAX)),
-            kind: settings.kind,
-            seed: shared.incarnation.0 ^ u64::from(shared.config.vm.0) << 48,
-            token_interval: Duration::from_millis(settings.token_interval_target_ms),
-            low_priority_share: f64::from(snapshot.fleet.policy.low_priority_share_percent) / 100.0,
-            shared_targets: snapshot
-                .routes
-                .iter()
-                .any(|r| r.id != route.id && r.group == route.group),
-            // The request path does not move KV caches, so prompt and answer share an engine.
-            split_prefill: false,
-            ..SchedulerConfig::default()
+    fn new(shared: &Shared, group: usize, config: SchedulerConfig) -> Self {
+        let seed = shared.incarnation.0 ^ u64::from(shared.config.vm.0) << 48;
+        let seeded = SchedulerConfig {
+            seed,
+            ..config.clone()
         };
         Self {
-            route: route.clone(),
-            scheduler: Mutex::new(Scheduler::new(config)),
-            waiters: Mutex::default(),
+            group,
+            config,
+            scheduler: Mutex::new(Scheduler::new(seeded)),
+            waiters: Mutex::new(Some(Waiters::default())),
         }
     }
 
-    /// Adds a request that waits for a verdict.
+    /// Lets all waiters go, so that they ask the scheduler that replaces this one.
+    fn close(&self) {
+        *lock(&self.waiters) = None;
+    }
+
+    /// Adds a request that waits for a verdict. The channel is closed if the scheduler was
+    /// replaced.
     pub(crate) fn wait(&self, attempt: RequestId) -> oneshot::Receiver<Verdict> {
         let (sender, receiver) = oneshot::channel();
-        lock(&self.waiters).insert(attempt, sender);
+        if let Some(waiters) = lock(&self.waiters).as_mut() {
+            waiters.insert(attempt, sender);
+        }
         receiver
     }
 
     /// Forgets a request whose caller left before the verdict.
     pub(crate) fn give_up(&self, attempt: RequestId) {
-        lock(&self.waiters).remove(&attempt);
+        if let Some(waiters) = lock(&self.waiters).as_mut() {
+            waiters.remove(&attempt);
+        }
     }
 
     /// Hands one event to the scheduler and tells the waiters what results. Returns digests for
@@ -136,7 +137,10 @@
 
     /// A waiter that is gone has sent or will send its cancellation itself.
     fn answer(&self, attempt: RequestId, verdict: Verdict) {
-        if let Some(waiter) = lock(&self.waiters).remove(&attempt) {
+        let waiter = lock(&self.waiters)
+            .as_mut()
+            .and_then(|w| w.remove(&attempt));
+        if let Some(waiter) = waiter {
             let _ = waiter.send(verdict);
         }
     }
@@ -184,15 +188,28 @@
     pub(crate) fn apply(&self, shared: &Shared, snapshot: &Snapshot, vms: u32) {
         {
             let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
-            routes.retain(|id, r| snapshot.routes.iter().any(|s| s.id == *id && *s == r.route));
+            let wanted = |id: &RouteId, have: &RouteScheduler| {
+                let route = snapshot.routes.iter().find(|r| r.id == *id);
+                route.is_some_and(|r| {
+                    r.group == have.group && scheduler_config(shared, snapshot, r) == have.config
+                })
+            };
+            routes.retain(|id, have| {
+                let keep = wanted(id, have);
+                if !keep {
+                    have.close();
+                }
+                keep
+            });
             for route in &snapshot.routes {
-                routes
-                    .entry(route.id)
-                    .or_insert_with(|| Arc::new(RouteScheduler::new(shared, snapshot, route)));
+                routes.entry(route.id).or_insert_with(|| {
+                    let config = scheduler_config(shared, snapshot, route);
+                    Arc::new(RouteScheduler::new(shared, route.group, config))
+                });
             }
         }
         for route in self.all() {
-            let group = &snapshot.groups[route.route.group];
+            let group = &snapshot.groups[route.group];
             let specs = group
                 .targets
                 .iter()
@@ -234,7 +251,7 @@
     pub(crate) fn tick(&self, shared: &Shared) -> Vec<PeerMessage> {
         let mut messages = Vec::new();
         for route in self.all() {
-            let id = route.route.id;
+            let id = route.config.route;
             let digests = route.feed(shared, SchedulerEvent::Tick);
             messages.extend(
                 digests
@@ -262,6 +279,25 @@
     }
 }
 
+fn scheduler_config(shared: &Shared, snapshot: &Snapshot, route: &RouteSpec) -> SchedulerConfig {
+    let settings = &route.settings;
+    let shares_group = |other: &RouteSpec| other.id != route.id && other.group == route.group;
+    SchedulerConfig {
+        route: route.id,
+        vm: shared.config.vm,
+        zone: snapshot
+            .zone(&shared.config.zone)
+            .unwrap_or(ZoneId(u16::MAX)),
+        kind: settings.kind,
+        token_interval: Duration::from_millis(settings.token_interval_target_ms),
+        low_priority_share: f64::from(snapshot.fleet.policy.low_priority_share_percent) / 100.0,
+        shared_targets: snapshot.routes.iter().any(shares_group),
+        // The request path does not move KV caches, so prompt and answer share an engine.
+        split_prefill: false,
+        ..SchedulerConfig::default()
+    }
+}
+
 /// Budgets are per UTC day.
 fn today() -> u64 {
     let since_epoch = SystemTime::now()
