--- a/crates/core/tests/scheduler_policy.rs
+++ b/crates/core/tests/scheduler_policy.rs
@@ -7,7 +7,7 @@
     Arrival, Digest, Reason, RefusalKind, Scheduler, SchedulerCommand, SchedulerConfig,
     SchedulerEvent,
 };
-use jujubebeam_core::settings::document::Priority;
+use jujubebeam_core::settings::document::{Priority, TargetKind};
 use jujubebeam_core::targets::{CacheEvent, LoadReport, Role, TargetInfo, TargetState};
 use jujubebeam_core::{Machine, RequestId, TargetId, VmId, WorkspaceId, ZoneId};
 use proptest::prelude::*;
@@ -339,6 +339,30 @@
     );
 }
 
+/// Guards against plain services that get more requests than they run at a time, while others wait
+/// for nothing.
+#[test]
+fn plain_services_share_requests_up_to_their_concurrency() {
+    let mut vm = Vm::new(&[Role::Mixed; 3]);
+    vm.scheduler = Scheduler::new(SchedulerConfig {
+        kind: TargetKind::Service,
+        service_concurrency: 2,
+        ..SchedulerConfig::default()
+    });
+    vm.set_targets(3, None);
+    for id in 0..3 {
+        vm.report(id, Role::Mixed, TargetState::Serving);
+    }
+    let out: Vec<_> = (0..8).flat_map(|r| vm.arrive(arrival(r, 1))).collect();
+    let mut targets: Vec<u64> = dispatched(&out).iter().map(|d| d.1.0).collect();
+    targets.sort();
+    assert_eq!(targets, [0, 0, 1, 1, 2, 2]);
+    let out = vm.step(SchedulerEvent::Cancel {
+        request: RequestId(0),
+    });
+    assert_eq!(dispatched(&out).len(), 1, "{out:?}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 128,
--- a/crates/jujubebeam/src/dispatch/dispatcher.rs
+++ b/crates/jujubebeam/src/dispatch/dispatcher.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use jujubebeam_core::limits::{LimitCommand, LimitConfig, LimitDigest, LimitEvent, Limiter};
+use jujubebeam_core::limits::{
+    LimitCommand, LimitConfig, LimitDigest, LimitEvent, Limiter, RetryBudget,
+};
 use jujubebeam_core::peer::PeerMessage;
 use jujubebeam_core::scheduler::{
     Digest, Explanation, RefusalKind, Scheduler, SchedulerCommand, SchedulerConfig, SchedulerEvent,
@@ -43,6 +45,7 @@
     scheduler: Mutex<Scheduler>,
     /// `None` once the scheduler is replaced.
     waiters: Mutex<Option<Waiters>>,
+    retries: Mutex<RetryBudget>,
 }
 
 /// Requests whose attempts are remembered for `explain`.
@@ -81,6 +84,7 @@
             config,
             scheduler: Mutex::new(Scheduler::new(seeded)),
             waiters: Mutex::new(Some(Waiters::default())),
+            retries: Mutex::new(RetryBudget::new(LimitConfig::default())),
         }
     }
 
@@ -106,6 +110,11 @@
         }
     }
 
+    /// The budget for further attempts on the route.
+    pub(crate) fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        lock(&self.retries)
+    }
+
     /// Hands one event to the scheduler and tells the waiters what results. Returns digests for
     /// the peers.
     pub(crate) fn feed(&self, shared: &Shared, event: SchedulerEvent) -> Vec<Digest> {
