Wake requests that wait for a connection of the HTTP client

Cause: the pool of ntex 3.12 opens one connection per address at a time. A request that starts meanwhile waits, and the pool wakes it only if fewer connections are in use than the limit. We set the limit 0 ("no limit"), for which the comparison never holds, so a request that met a connection in the making was woken by nothing.

The limit is now usize::MAX. Connections are kept for 3 s in place of 15 s, because common servers close theirs after 5 s, and a request on a connection that closes at the same moment gets no answer.

Ruled out by reading: RouteScheduler::wait registers the waiter before the arrival is fed, and the relay's channel is bounded but always drained or closed.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -17,9 +17,11 @@
 /// Settings of an outgoing HTTP client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HttpClientConfig {
-    /// Idle connections are closed after this time.
+    /// Idle connections are closed after this time. It is shorter than the 5 s after which common
+    /// servers close theirs, because a request on a connection that closes at the same moment gets
+    /// no answer.
     pub keep_alive_s: u16,
-    /// Connections per worker thread; 0 means no limit.
+    /// Connections per worker thread.
     pub connections: usize,
     /// Largest answer body that is read as a whole.
     pub body_limit_bytes: usize,
@@ -28,8 +30,10 @@
 impl Default for HttpClientConfig {
     fn default() -> Self {
         Self {
-            keep_alive_s: 15,
-            connections: 0,
+            keep_alive_s: 3,
+            // The pool of ntex 3.12 wakes requests that wait for a connection only while fewer than
+            // this many are in use. With 0, which it takes for "no limit", it never wakes them.
+            connections: usize::MAX,
             body_limit_bytes: 8 * 1024 * 1024,
         }
     }
