--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/design.md`, section 4.
 
 mod client;
+pub mod prefix;
 mod wire;
 
 pub use client::{EngineClient, EngineClientConfig};
