Connect metrics, spans, explanations and prefix hashes to the request path

- Chat requests ask the scheduler with their piece hashes, so that it can find cached prefixes.
Before, it was given none.
- A reporter task sends the counters; requests, answers, refusals, attempts, resumes, output tokens and time to the first byte are counted.
- One span per request, per attempt and per forwarding, with W3C context in and out.
Only our own spans are exported, as the exporter's HTTP client would otherwise record spans of its own sending.
- GET /operator/v1/explain/{request} answers from the dispatcher.
- Violations of invariants are logged as `invariant: NAME: detail`.
- allow(dead_code) is gone, and with it RECHECK_INTERVAL and Ask::model.

The new test of a planned move found a fault: the resume request carried the JSON of the KV handle in place of its name, so no engine could find the cache that it had imported and computed the prompt again. The name is sent now.

--- a/crates/jujubebeam/src/caller.rs
+++ b/crates/jujubebeam/src/caller.rs
@@ -15,8 +15,10 @@
 use jujubebeam_core::Clock;
 
 use crate::context::Context;
+use crate::metrics::Counter;
 use crate::{operator_api, running};
 
+pub(crate) use refusals::id_text;
 pub(crate) use service::run_for_peer;
 
 /// State handed to handlers.
@@ -60,6 +62,7 @@
     payload: web::types::Payload,
 ) -> HttpResponse {
     let guard = context.shared.start_request();
+    context.shared.metrics.count(Counter::Requests);
     running::hold(chat::complete(context, request, payload).await, guard)
 }
 
@@ -69,5 +72,6 @@
     payload: web::types::Payload,
 ) -> HttpResponse {
     let guard = context.shared.start_request();
+    context.shared.metrics.count(Counter::Requests);
     running::hold(service::forward(context, request, payload).await, guard)
 }
--- a/crates/jujubebeam/src/caller/auth.rs
+++ b/crates/jujubebeam/src/caller/auth.rs
@@ -1,7 +1,5 @@
 //! Checks the caller's key.
 
-use std::time::Duration;
-
 use jujubebeam_caller::{CallerError, ErrorKind, headers};
 use jujubebeam_core::invariant::{self, Invariant};
 use jujubebeam_core::settings::document::{AccessRule, KeyState};
@@ -11,8 +9,6 @@
 
 use crate::shared::Shared;
 
-/// Time between two checks of the key of a running stream.
-pub(crate) const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// A stale vm is usually fresh again after one round of anti-entropy.
 const STALE_RETRY_S: u32 = 1;
 
@@ -86,7 +82,7 @@
     })
 }
 
-/// Checks whether a running stream may go on. Call it every [`RECHECK_INTERVAL`]; on an error, end
+/// Checks whether a running stream may go on. Call it every 500 ms; on an error, end
 /// the stream with it.
 pub(crate) fn still_valid(shared: &Shared, key: KeyInUse) -> Result<(), CallerError> {
     if !shared.settings.permit().may_continue(shared.clock.now()) {
--- a/crates/jujubebeam/src/caller/chat.rs
+++ b/crates/jujubebeam/src/caller/chat.rs
@@ -8,18 +8,21 @@
 
 use std::time::Duration;
 
-use jujubebeam_caller::{CallerError, ChatRequest, ErrorKind, headers};
+use jujubebeam_caller::{CallerError, ChatRequest, ErrorKind};
 use jujubebeam_core::quarantine::Fingerprint;
 use jujubebeam_core::settings::{RouteSpec, Snapshot};
 use jujubebeam_core::{Clock, RequestId, RouteId, WorkspaceId};
+use jujubebeam_engine::prefix::piece_hashes;
 use ntex::http::HeaderMap;
 use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse};
 use tokio::sync::mpsc;
+use tracing::Span;
 
 use super::auth::KeyInUse;
 use super::{ContextState, auth, body, refusals, service};
 use crate::context::Context;
+use crate::trace;
 
 /// Largest body that is read before the route is known.
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
@@ -41,15 +44,17 @@
     headers: HeaderMap,
     fingerprint: Fingerprint,
     prompt_tokens: u64,
+    /// Hashes of the prompt's cache pieces.
+    prefix_hashes: Vec<u64>,
+    /// Span of the request.
+    span: Span,
+    /// Monotonic time at which the request arrived.
+    arrived: Duration,
     /// Monotonic time by which the first token must be there.
     deadline: Duration,
 }
 
 impl Job {
-    fn traceparent(&self) -> Option<&str> {
-        self.headers.get(headers::TRACEPARENT)?.to_str().ok()
-    }
-
     fn route<'a>(&self, snapshot: &'a Snapshot) -> Result<&'a RouteSpec, CallerError> {
         snapshot
             .route_for_model(&self.path, &self.chat.model)
@@ -76,14 +81,10 @@
     payload: &mut web::types::Payload,
     id: RequestId,
 ) -> Result<HttpResponse, CallerError> {
-    let snapshot = refusals::settings(context)?;
-    let bytes = body::read(payload, BODY_LIMIT_BYTES).await?;
-    let job = job(context, &snapshot, request, &bytes, id)?;
-    if let Some(error) =
-        refusals::crashes_targets(crate::crashes::verdict(context, job.fingerprint))
-    {
-        return Err(error);
-    }
+    // The driver counts the errors of requests that it was given.
+    let job = prepare(context, request, payload, id)
+        .await
+        .inspect_err(|error| context.shared.metrics.count_error(error))?;
     let (sender, receiver) = mpsc::channel(OUTPUT_PARTS);
     let context = context.clone();
     // The attempt is cancelled at the engine when the receiver is dropped with the connection.
@@ -91,12 +92,30 @@
     output::respond(receiver, id).await
 }
 
+async fn prepare(
+    context: &Context,
+    request: &HttpRequest,
+    payload: &mut web::types::Payload,
+    id: RequestId,
+) -> Result<Job, CallerError> {
+    let span = trace::request_span(id, request.headers());
+    let snapshot = refusals::settings(context)?;
+    let bytes = body::read(payload, BODY_LIMIT_BYTES).await?;
+    let job = job(context, &snapshot, request, &bytes, id, span)?;
+    let verdict = crate::crashes::verdict(context, job.fingerprint);
+    match refusals::crashes_targets(verdict) {
+        Some(error) => Err(error),
+        None => Ok(job),
+    }
+}
+
 fn job(
     context: &Context,
     snapshot: &Snapshot,
     request: &HttpRequest,
     bytes: &Bytes,
     id: RequestId,
+    span: Span,
 ) -> Result<Job, CallerError> {
     let chat: ChatRequest = serde_json::from_slice(bytes).map_err(|e| {
         bad_request(
@@ -125,6 +144,7 @@
     }
     check_form(&chat)?;
     let prompt_bytes: usize = chat.messages.iter().map(|m| m.content.len()).sum();
+    let arrived = context.shared.clock.now();
     let wait = service::deadline(request.headers(), route.settings.longest_wait_ms)?;
     Ok(Job {
         request: id,
@@ -133,11 +153,14 @@
         workspace: workspace.map(|w| w.id),
         key: auth::key_in_use(request.headers(), workspace),
         streamed: chat.stream,
+        prefix_hashes: piece_hashes(&chat.messages),
         chat,
         headers: request.headers().clone(),
         fingerprint: Fingerprint::new(route.id, bytes),
         prompt_tokens: (prompt_bytes / BYTES_PER_TOKEN) as u64,
-        deadline: context.shared.clock.now() + wait,
+        span,
+        arrived,
+        deadline: arrived + wait,
     })
 }
 
--- a/crates/jujubebeam/src/caller/chat/attempts.rs
+++ b/crates/jujubebeam/src/caller/chat/attempts.rs
@@ -19,6 +19,8 @@
 use crate::caller::refusals;
 use crate::crashes;
 use crate::dispatch::{self, Ask, Permit};
+use crate::metrics::Counter;
+use crate::trace;
 
 /// Time in which a stream that already delivered text must find its next target. The caller sees
 /// a pause of this length at most.
@@ -84,10 +86,9 @@
             request: self.job.request,
             route,
             workspace,
-            model: &self.job.chat.model,
             prompt_tokens: self.job.prompt_tokens,
             max_tokens: self.job.chat.max_tokens,
-            prefix_hashes: &[],
+            prefix_hashes: &self.job.prefix_hashes,
             repeatable: true,
             deadline,
             excluded,
@@ -104,9 +105,16 @@
         let Some(address) = self.permit.as_ref().map(|p| p.target.address.clone()) else {
             return;
         };
+        let metrics = &self.context.shared.metrics;
+        metrics.count(Counter::Attempts);
+        if resume.is_some() {
+            metrics.count(Counter::Resumes);
+        }
+        // The span of the last attempt ends here.
+        self.attempt_span = tracing::info_span!(parent: &self.job.span, "attempt", %address);
         let request = self.engine_request(attempt, resume);
         let engine = self.engine(&address);
-        let traceparent = self.job.traceparent().map(str::to_owned);
+        let traceparent = trace::traceparent(&self.attempt_span, &self.job.headers);
         let result = {
             let mut chat = pin!(engine.chat(&request, traceparent.as_deref()));
             let mut waited = Millis::ZERO;
@@ -169,7 +177,7 @@
             resume: resume.map(|r| ResumeFrom {
                 delivered_tokens: r.tokens,
                 delivered_text: r.text,
-                kv_handle: r.kv_handle,
+                kv_handle: r.kv_handle.and_then(|h| handle_name(&h)),
             }),
         }
     }
@@ -225,3 +233,9 @@
         self.feed(RequestEvent::Imported { done });
     }
 }
+
+/// Name under which the importing engine keeps a cache. The machine carries the whole handle.
+fn handle_name(handle: &str) -> Option<String> {
+    let handle = serde_json::from_str::<KvHandle>(handle).ok()?;
+    Some(handle.handle)
+}
--- a/crates/jujubebeam/src/caller/chat/driver.rs
+++ b/crates/jujubebeam/src/caller/chat/driver.rs
@@ -12,6 +12,7 @@
 use jujubebeam_core::{Clock, Machine};
 use ntex::time::{Millis, sleep};
 use tokio::sync::mpsc::Sender;
+use tracing::Span;
 
 use super::Job;
 use super::connection::Connection;
@@ -21,6 +22,7 @@
 use crate::context::Context;
 use crate::crashes;
 use crate::dispatch::Permit;
+use crate::metrics::Counter;
 use crate::recorder::{self, Used};
 
 /// Time between two checks of the caller's key, the deadline and the target's state.
@@ -43,6 +45,8 @@
     /// Whether something other than text was delivered, which no other engine can continue.
     delivered_other: bool,
     usage: Option<Usage>,
+    /// Span of the present attempt.
+    pub(super) attempt_span: Span,
     /// Time of the next check of key, deadline and target.
     next_check: Duration,
 }
@@ -62,6 +66,7 @@
             chunk: None,
             delivered_other: false,
             usage: None,
+            attempt_span: Span::none(),
             next_check: Duration::ZERO,
         }
     }
@@ -215,6 +220,7 @@
             } => {
                 let refusal = self.refusal.take();
                 let error = refusals::given_up(cause, not_run, retry_after_s, refusal);
+                self.context.shared.metrics.count_error(&error);
                 self.emit(Output::Error(error)).await;
             }
             RequestCommand::Cancel { attempt, .. } => self.cancel(attempt),
@@ -233,6 +239,12 @@
     }
 
     async fn deliver(&mut self, text: &str) {
+        let shared = &self.context.shared;
+        shared.metrics.count(Counter::OutputTokens);
+        if self.machine.delivered_tokens() == 1 {
+            let passed = shared.clock.now().saturating_sub(self.job.arrived);
+            shared.metrics.add_time(Counter::FirstByteMicros, passed);
+        }
         if let Some(permit) = &mut self.permit {
             if self.machine.delivered_tokens() == 1 {
                 permit.first_token();
@@ -250,6 +262,7 @@
 
     async fn complete(&mut self, reason: String, tokens: u64) {
         self.connection = None;
+        self.context.shared.metrics.count(Counter::Answers);
         crashes::succeeded(&self.context, self.job.route);
         let fingerprint = self.job.fingerprint;
         let event = QuarantineEvent::Whole { fingerprint };
--- a/crates/jujubebeam/src/caller/service.rs
+++ b/crates/jujubebeam/src/caller/service.rs
@@ -16,12 +16,15 @@
 use ntex::http::{HeaderMap, Method, StatusCode, header};
 use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse};
+use tracing::Span;
 
 pub(crate) use forward::{outcome_of_peer, run_for_peer};
 pub(crate) use once::{Place, outcome_here, place};
 
 use super::{ContextState, auth, body, refusals};
 use crate::context::Context;
+use crate::metrics::Counter;
+use crate::trace;
 
 /// One request to a plain service.
 #[derive(Clone, Debug)]
@@ -34,6 +37,10 @@
     /// Headers that the target may see.
     headers: HeaderMap,
     body: Bytes,
+    /// Span of the request.
+    span: Span,
+    /// Monotonic time at which the request arrived.
+    arrived: Duration,
     /// Monotonic time at which the request is given up.
     deadline: Duration,
 }
@@ -91,8 +98,14 @@
 ) -> HttpResponse {
     let id = context.shared.new_request_id();
     match run(&context, &request, &mut payload, id).await {
-        Ok(response) => response,
-        Err(error) => body::refuse(payload, error.request_id(refusals::id_text(id))).await,
+        Ok(response) => {
+            context.shared.metrics.count(Counter::Answers);
+            response
+        }
+        Err(error) => {
+            context.shared.metrics.count_error(&error);
+            body::refuse(payload, error.request_id(refusals::id_text(id))).await
+        }
     }
 }
 
@@ -118,6 +131,7 @@
     }
     let body = body::read(payload, route.settings.body_limit_bytes).await?;
     let wait = deadline(request.headers(), route.settings.longest_wait_ms)?;
+    let arrived = context.shared.clock.now();
     let job = Job {
         request: id,
         route: route.id,
@@ -130,7 +144,9 @@
             .to_owned(),
         headers: headers::for_target(request.headers()),
         body,
-        deadline: context.shared.clock.now() + wait,
+        span: trace::request_span(id, request.headers()),
+        arrived,
+        deadline: arrived + wait,
     };
     match key {
         Some(key) if !repeatable => once::run(context, job, key).await,
--- a/crates/jujubebeam/src/caller/service/call.rs
+++ b/crates/jujubebeam/src/caller/service/call.rs
@@ -2,8 +2,8 @@
 
 use jujubebeam_caller::CallerError;
 use jujubebeam_caller::headers as names;
-use jujubebeam_core::TargetId;
 use jujubebeam_core::quarantine::Verdict;
+use jujubebeam_core::{Clock, TargetId};
 use jujubebeam_http::CallError;
 use jujubebeam_service::{ServiceClient, ServiceClientConfig};
 use ntex::client::Client;
@@ -16,6 +16,8 @@
 use crate::context::Context;
 use crate::crashes;
 use crate::dispatch::{self, Ask, Permit};
+use crate::metrics::Counter;
+use crate::trace;
 
 /// Asks for a target.
 pub(super) async fn acquire(
@@ -33,7 +35,6 @@
         request: job.request,
         route,
         workspace: job.workspace.and_then(|id| snapshot.workspaces.get(&id)),
-        model: "",
         prompt_tokens: 0,
         max_tokens: None,
         prefix_hashes: &[],
@@ -48,6 +49,7 @@
 /// Sends the request and reads the whole answer. An answer that echoes another attempt counts as
 /// no answer.
 pub(super) async fn call(
+    context: &Context,
     client: &Client,
     job: &Job,
     address: &str,
@@ -58,6 +60,10 @@
     if let Ok(value) = HeaderValue::from_str(&attempt) {
         headers.insert(HeaderName::from_static(names::ATTEMPT), value);
     }
+    let metrics = &context.shared.metrics;
+    metrics.count(Counter::Attempts);
+    let span = tracing::info_span!(parent: &job.span, "attempt", %address);
+    trace::insert_traceparent(&span, &mut headers);
     let service = ServiceClient::new(client.clone(), address, ServiceClientConfig::default());
     let response = service
         .forward(
@@ -67,6 +73,8 @@
             job.body.clone(),
         )
         .await?;
+    let passed = context.shared.clock.now().saturating_sub(job.arrived);
+    metrics.add_time(Counter::FirstByteMicros, passed);
     // Plain services that do not know the header send none.
     let echoed = response.headers().get(names::ATTEMPT);
     if echoed.is_some_and(|e| e.as_bytes() != attempt.as_bytes()) {
--- a/crates/jujubebeam/src/caller/service/forward.rs
+++ b/crates/jujubebeam/src/caller/service/forward.rs
@@ -19,6 +19,7 @@
 use crate::caller::respond::error_response;
 use crate::caller::{refusals, tickets};
 use crate::context::Context;
+use crate::trace;
 
 /// Bytes of the length field before the head.
 const LENGTH_BYTES: usize = 4;
@@ -51,7 +52,10 @@
     key: &str,
     ticket: Ticket,
 ) -> Result<HttpResponse, CallerError> {
-    let headers = job.headers.iter();
+    let span = tracing::info_span!(parent: &job.span, "forward", vm = ticket.vm.0);
+    let mut headers = job.headers.clone();
+    trace::insert_traceparent(&span, &mut headers);
+    let headers = headers.iter();
     let head = RunHead {
         action: Action::Run,
         request: job.request,
@@ -187,6 +191,8 @@
         }
     }
     headers.remove(names::ATTEMPT);
+    let span = trace::request_span(head.request, &headers);
+    let arrived = context.shared.clock.now();
     let job = Job {
         request: head.request,
         route: route.id,
@@ -195,7 +201,9 @@
         path_and_query: head.path_and_query,
         headers,
         body,
-        deadline: context.shared.clock.now() + head.wait,
+        span,
+        arrived,
+        deadline: arrived + head.wait,
     };
     once::run_here(context, job, head.key, kind).await
 }
--- a/crates/jujubebeam/src/caller/service/once.rs
+++ b/crates/jujubebeam/src/caller/service/once.rs
@@ -136,7 +136,15 @@
             Err(error) => return (RunEnd::NotSent, Err(error)),
         };
         let started = context.shared.clock.now();
-        match call::call(&context.fresh, job, &permit.target.address, attempt).await {
+        match call::call(
+            context,
+            &context.fresh,
+            job,
+            &permit.target.address,
+            attempt,
+        )
+        .await
+        {
             Ok(answer) => {
                 permit.finish(0, 0);
                 return (RunEnd::Answer(stored(&answer)), Ok(answer));
--- a/crates/jujubebeam/src/caller/service/repeatable.rs
+++ b/crates/jujubebeam/src/caller/service/repeatable.rs
@@ -124,7 +124,13 @@
         let wait = self.job.remaining(self.context).as_millis();
         let wait = Millis(wait.min(u128::from(u32::MAX)) as u32);
         let client = &self.context.targets;
-        let sent = call::call(client, self.job, &permit.target.address, attempt.0);
+        let sent = call::call(
+            self.context,
+            client,
+            self.job,
+            &permit.target.address,
+            attempt.0,
+        );
         match timeout(wait, sent).await {
             Err(()) => self.feed(RequestEvent::Expired),
             Ok(Err(error)) => {
--- a/crates/jujubebeam/src/cli/run.rs
+++ b/crates/jujubebeam/src/cli/run.rs
@@ -1,6 +1,7 @@
 //! `jujubebeam run`
 
 use error_stack::Report;
+use jujubebeam_core::invariant;
 use pico_args::Arguments;
 
 use super::arguments::{bad_input, finish, required};
@@ -30,6 +31,7 @@
         return Ok(());
     }
     start_log(&config.log.level)?;
+    invariant::set_reporter(|name, detail| log::error!("invariant: {name}: {detail}"));
     let _guard = trace::start(&config.trace).map_err(bad_input)?;
     server::run(config).map_err(|e| Report::new(Failure::Failed).attach(e.to_string()))
 }
--- a/crates/jujubebeam/src/control.rs
+++ b/crates/jujubebeam/src/control.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 
 use crate::context::Context;
-use crate::dispatch;
 use crate::shared::Shared;
+use crate::{dispatch, metrics};
 
 /// Starts all control tasks on the calling thread.
 pub(crate) async fn start(shared: Arc<Shared>) {
@@ -21,4 +21,5 @@
     authority::start(&context);
     usage::start(&context);
     dispatch::start(&context);
+    metrics::start(&context);
 }
--- a/crates/jujubebeam/src/dispatch.rs
+++ b/crates/jujubebeam/src/dispatch.rs
@@ -31,8 +31,6 @@
     pub(crate) route: &'a RouteSpec,
     /// Workspace of the caller, or `None` on an open route without a key.
     pub(crate) workspace: Option<&'a WorkspaceSpec>,
-    /// Model of the request; empty for plain services.
-    pub(crate) model: &'a str,
     /// Estimated length of the prompt.
     pub(crate) prompt_tokens: u64,
     /// Limit of generated tokens that the caller set.
--- a/crates/jujubebeam/src/lib.rs
+++ b/crates/jujubebeam/src/lib.rs
@@ -1,7 +1,5 @@
 //! The jujubebeam daemon and the operators' client.
 
-#![allow(dead_code, reason = "interfaces of subsystems that are being added")]
-
 mod caller;
 mod cli;
 mod context;
--- a/crates/jujubebeam/src/metrics.rs
+++ b/crates/jujubebeam/src/metrics.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use cadence::{BufferedUdpMetricSink, Counted, Gauged, StatsdClient};
+use jujubebeam_caller::CallerError;
 use jujubebeam_core::invariant;
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
+use crate::context::Context;
 use crate::process_config::MetricsConfig;
 
 /// What is counted.
@@ -57,6 +59,14 @@
         self.add(counter, time.as_micros() as u64);
     }
 
+    /// Counts an error that a caller receives.
+    pub(crate) fn count_error(&self, error: &CallerError) {
+        self.count(match error.not_run {
+            true => Counter::RefusedNotRun,
+            false => Counter::Failed,
+        });
+    }
+
     /// Present sum of a counter.
     pub(crate) fn sum(&self, counter: Counter) -> u64 {
         self.counters[counter as usize].load(Ordering::Relaxed)
@@ -107,3 +117,25 @@
         let _ = self.client.flush();
     }
 }
+
+/// Sends reports until the process ends, if metrics are configured.
+pub(crate) fn start(context: &Context) {
+    let config = &context.shared.config.metrics;
+    let mut reporter = match Reporter::new(config) {
+        Ok(Some(reporter)) => reporter,
+        Ok(None) => return,
+        Err(e) => {
+            log::error!("vm: metrics are off: {e}; check `metrics.statsd_address`");
+            return;
+        }
+    };
+    let interval = Duration::from_millis(config.interval_ms);
+    let context = context.clone();
+    ntex::rt::spawn(async move {
+        loop {
+            ntex::time::sleep(interval).await;
+            let running = context.shared.running_requests() as u64;
+            reporter.report(&context.shared.metrics, running);
+        }
+    });
+}
--- a/crates/jujubebeam/src/operator_api.rs
+++ b/crates/jujubebeam/src/operator_api.rs
@@ -1,6 +1,7 @@
-//! Operator API: subtrees and status. See `docs/design.md`, section 8.
+//! Operator API: subtrees, status and explanations. See `docs/design.md`, section 8.
 
 mod check;
+mod explain;
 mod status;
 mod subtrees;
 
@@ -13,9 +14,11 @@
 
 /// Adds the routes of the operator API to the caller listener.
 pub(crate) fn configure(config: &mut ServiceConfig) {
+    let explain = format!("{}/{{request}}", paths::EXPLAIN);
     let subtree = format!("{}/{{name}}*", paths::SUBTREES);
     config
         .route(paths::STATUS, web::get().to(status::show))
+        .route(&explain, web::get().to(explain::show))
         .service(
             web::resource(subtree)
                 .route(web::get().to(subtrees::read))
--- a/crates/jujubebeam/src/shared.rs
+++ b/crates/jujubebeam/src/shared.rs
@@ -20,12 +20,15 @@
 use crate::crashes::CrashShards;
 use crate::dispatch::Dispatcher;
 use crate::ledger::OnceShards;
+use crate::metrics::Metrics;
 use crate::process_config::ProcessConfig;
 use crate::running::{RunningCounter, RunningGuard};
 
 /// State of the process. Every part has its own lock, and no lock is held across an await.
 #[derive(Debug)]
 pub(crate) struct Shared {
+    /// Counters that are reported to statsd.
+    pub(crate) metrics: Metrics,
     /// Settings of the process.
     pub(crate) config: ProcessConfig,
     /// Run of the process.
@@ -66,6 +69,7 @@
         };
         let (usage_meter, window_closer) = usage::machines(me, &config.zone);
         Self {
+            metrics: Metrics::default(),
             settings: SettingsState::new(&config, incarnation),
             membership: MembershipState::new(&config, incarnation),
             running: RunningCounter::default(),
--- a/crates/jujubebeam/src/trace.rs
+++ b/crates/jujubebeam/src/trace.rs
@@ -3,6 +3,7 @@
 //! Spans are off unless `trace.otlp_endpoint` is set; then a span costs no more than a check.
 
 use ntex::http::HeaderMap;
+use ntex::http::header::{HeaderName, HeaderValue};
 use opentelemetry::propagation::{Extractor, Injector, TextMapPropagator};
 use opentelemetry::trace::TracerProvider;
 use opentelemetry_otlp::{SpanExporter, WithExportConfig};
@@ -10,10 +11,14 @@
 use opentelemetry_sdk::trace::SdkTracerProvider;
 use tracing::Span;
 use tracing_opentelemetry::OpenTelemetrySpanExt;
+use tracing_subscriber::Layer;
+use tracing_subscriber::filter::filter_fn;
 use tracing_subscriber::layer::SubscriberExt;
 
 use jujubebeam_caller::headers;
+use jujubebeam_core::RequestId;
 
+use crate::caller::id_text;
 use crate::process_config::TraceConfig;
 
 /// Keeps the exporter alive. Dropping it sends what is left.
@@ -44,14 +49,26 @@
         .with_batch_exporter(exporter)
         .build();
     let tracer = provider.tracer("jujubebeam");
-    let subscriber =
-        tracing_subscriber::registry().with(tracing_opentelemetry::layer().with_tracer(tracer));
+    // Spans of the libraries that send the spans would be sent too, without end.
+    let own = filter_fn(|metadata| metadata.target().starts_with("jujubebeam"));
+    let layer = tracing_opentelemetry::layer().with_tracer(tracer);
+    let subscriber = tracing_subscriber::registry().with(layer.with_filter(own));
     tracing::subscriber::set_global_default(subscriber).map_err(|e| e.to_string())?;
     Ok(Some(TraceGuard { provider }))
 }
 
+/// Span of a request at this vm, below the span of whoever sent it.
+pub(crate) fn request_span(request: RequestId, incoming: &HeaderMap) -> Span {
+    let span = tracing::info_span!("request", request = tracing::field::Empty);
+    if !span.is_disabled() {
+        span.record("request", id_text(request));
+    }
+    set_parent(&span, incoming);
+    span
+}
+
 /// Makes the caller's trace context the parent of a span.
-pub(crate) fn set_parent(span: &Span, incoming: &HeaderMap) {
+fn set_parent(span: &Span, incoming: &HeaderMap) {
     if span.is_disabled() {
         return;
     }
@@ -73,6 +90,17 @@
     outgoing.0
 }
 
+/// Puts the context of a span into the headers of the next hop.
+pub(crate) fn insert_traceparent(span: &Span, outgoing: &mut HeaderMap) {
+    if span.is_disabled() {
+        return;
+    }
+    let value = traceparent(span, outgoing).and_then(|v| HeaderValue::from_str(&v).ok());
+    if let Some(value) = value {
+        outgoing.insert(HeaderName::from_static(headers::TRACEPARENT), value);
+    }
+}
+
 struct Incoming<'a>(&'a HeaderMap);
 
 impl Extractor for Incoming<'_> {
--- a/crates/jujubebeam/tests/support/mod.rs
+++ b/crates/jujubebeam/tests/support/mod.rs
@@ -1,5 +1,10 @@
 //! Fakes of the platform, an engine and a plain service on port 0, and vms as processes.
 
+#![allow(dead_code, reason = "each test file uses a part of the fakes")]
+
+pub(crate) mod caller;
+mod engine;
+
 use std::collections::BTreeMap;
 use std::io::Error;
 use std::net::{SocketAddr, TcpListener};
@@ -10,17 +15,17 @@
 use jujubebeam_caller::headers;
 use jujubebeam_core::VmId;
 use jujubebeam_core::settings::KeyHash;
-use jujubebeam_core::targets::LoadReport;
-use jujubebeam_engine::{EngineRequest, paths as engine_paths};
 use jujubebeam_operator::{FLEET_KEY, TEAMS_PREFIX};
 use jujubebeam_store::wire::*;
 use jujubebeam_vmlist::{ListedState, ListedVm, VM_LIST_PATH, VmList};
+use ntex::http::HeaderMap;
 use ntex::util::Bytes;
 use ntex::web::{self, App, HttpRequest, HttpResponse, test};
 
+/// Path of the collector of spans.
+pub(crate) const TRACES_PATH: &str = "/v1/traces";
 pub(crate) const KEY: &str = "test-key";
 pub(crate) const WHOLE_TEXT: &str = "t0 t1 t2 t3 t4 t5 t6 t7 ";
-const TOKENS: u64 = 8;
 
 /// What the fakes saw and hold.
 #[derive(Default)]
@@ -30,6 +35,20 @@
     pub(crate) executions: BTreeMap<String, u32>,
     pub(crate) cancelled: Vec<String>,
     pub(crate) caller_keys: u32,
+    /// Trace contexts that targets received.
+    pub(crate) traceparents: Vec<String>,
+    /// Bodies that the collector of spans received.
+    pub(crate) spans: Vec<Vec<u8>>,
+    /// Every call of the store fails.
+    pub(crate) store_down: bool,
+    /// Engine that is to be drained.
+    pub(crate) draining: Option<String>,
+    /// Attempts whose KV cache was exported.
+    pub(crate) exported: Vec<String>,
+    /// Handles that were imported, with the engine that exported them.
+    pub(crate) imported: Vec<(String, String)>,
+    /// Handles that answers were resumed from.
+    pub(crate) resumed: Vec<String>,
 }
 
 pub(crate) type Shared = Arc<Mutex<Seen>>;
@@ -53,7 +72,7 @@
 }
 
 impl Fleet {
-    pub(crate) async fn start() -> Self {
+    pub(crate) async fn start(settings: &str) -> Self {
         let seen = Shared::default();
         let platform = serve(&seen).await;
         let targets = [serve(&seen).await, serve(&seen).await];
@@ -65,14 +84,14 @@
             _servers: Vec::new(),
         };
         for vm in 1..=2 {
-            fleet.start_vm(vm, platform.addr());
+            fleet.start_vm(vm, platform.addr(), settings);
         }
         fleet._servers.push(platform);
         fleet._servers.extend(targets);
         fleet
     }
 
-    fn start_vm(&mut self, vm: u32, platform: SocketAddr) {
+    fn start_vm(&mut self, vm: u32, platform: SocketAddr, settings: &str) {
         let (caller, peer) = (free_address(), free_address());
         let listed = ListedVm {
             vm: VmId(vm),
@@ -85,7 +104,7 @@
         let text = format!(
             "vm: {vm}\nzone: a\ncaller_address: {caller}\npeer_address: {peer}\nplatform:\n  \
              store: {platform}\n  vm_list: {platform}\n  ordering: {platform}\n  \
-             usage: {platform}\n  weights: {platform}\nlog:\n  level: warn\n"
+             usage: {platform}\n  weights: {platform}\nlog:\n  level: warn\n{settings}"
         );
         let path = std::env::temp_dir().join(format!("jujubebeam-{}.yaml", caller.port()));
         std::fs::write(&path, text).unwrap();
@@ -99,6 +118,18 @@
     }
 }
 
+/// A collector of spans that runs before the vms, whose settings name it.
+pub(crate) struct Collector {
+    pub(crate) seen: Shared,
+    pub(crate) server: test::TestServer,
+}
+
+pub(crate) async fn start_collector() -> Collector {
+    let seen = Shared::default();
+    let server = serve(&seen).await;
+    Collector { seen, server }
+}
+
 fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
@@ -113,9 +144,8 @@
             .route(paths::TXN, web::post().to(txn))
             .route(paths::LEASE_GRANT, web::post().to(grant))
             .route(VM_LIST_PATH, web::get().to(vms))
-            .route(engine_paths::LOAD, web::get().to(load))
-            .route(engine_paths::CHAT, web::post().to(chat))
-            .route(engine_paths::CANCEL, web::post().to(cancel))
+            .route(TRACES_PATH, web::post().to(spans))
+            .configure(engine::configure)
             .service(web::resource("/{path}*").to(execute))
     })
     .await
@@ -179,12 +209,19 @@
 }
 
 async fn range(state: State, request: web::types::Json<RangeRequest>) -> HttpResponse {
-    HttpResponse::Ok().json(&read(&state.lock().unwrap(), &request))
+    let seen = state.lock().unwrap();
+    if seen.store_down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    HttpResponse::Ok().json(&read(&seen, &request))
 }
 
 /// Only creations occur: all compared keys must be absent.
 async fn txn(state: State, request: web::types::Json<TxnRequest>) -> HttpResponse {
     let mut seen = state.lock().unwrap();
+    if seen.store_down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
     let succeeded = !request
         .compare
         .iter()
@@ -210,7 +247,10 @@
     })
 }
 
-async fn grant(request: web::types::Json<LeaseGrantRequest>) -> HttpResponse {
+async fn grant(state: State, request: web::types::Json<LeaseGrantRequest>) -> HttpResponse {
+    if state.lock().unwrap().store_down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
     HttpResponse::Ok().json(&LeaseResponse {
         header: Header::default(),
         id: Int64(1),
@@ -222,67 +262,15 @@
     HttpResponse::Ok().json(&state.lock().unwrap().vms)
 }
 
-async fn load() -> HttpResponse {
-    HttpResponse::Ok().json(&LoadReport::default())
-}
-
-async fn cancel(state: State, body: Bytes) -> HttpResponse {
-    let text = String::from_utf8_lossy(&body).into_owned();
-    state.lock().unwrap().cancelled.push(text);
-    HttpResponse::Ok().json(&serde_json::json!({"done": true}))
-}
-
-/// The prompt says how the engine fails: `cut` and `crossed` on the first attempt, `poison` on
-/// every attempt, `endless` never ends.
-async fn chat(request: web::types::Json<EngineRequest>) -> HttpResponse {
-    let prompt = request.chat.messages[0].content.clone();
-    let first = request.attempt_id.ends_with("-1");
-    let crossed = prompt.contains("crossed") && first;
-    let resumed = request.resume.as_ref();
-    let start = resumed.map_or(0, |r| r.delivered_tokens);
-    let known: String = (0..start).map(|i| format!("t{i} ")).collect();
-    assert_eq!(known, resumed.map_or("", |r| &r.delivered_text));
-    let cut = prompt.contains("poison") || (prompt.contains("cut") && first);
-    let end = if cut { start + 3 } else { TOKENS };
-    let mut events: Vec<Result<Bytes, Error>> = Vec::new();
-    for i in start..end {
-        let text = if crossed {
-            "other ".into()
-        } else {
-            format!("t{i} ")
-        };
-        events.push(Ok(chunk(&serde_json::json!({"content": text}), None)));
-    }
-    if cut {
-        events.push(Err(Error::other("the engine dies")));
-    } else {
-        events.push(Ok(chunk(&serde_json::json!({}), Some("stop"))));
-        events.push(Ok(Bytes::from("data: [DONE]\n\n")));
-    }
-    let mut builder = HttpResponse::Ok();
-    let echoed = if crossed {
-        "another-1"
-    } else {
-        &request.attempt_id
-    };
-    builder.header(headers::ATTEMPT, echoed);
-    if prompt.contains("endless") {
-        let endless = stream::unfold((), async |()| {
-            ntex::time::sleep(ntex::time::Millis(10)).await;
-            let chunk = chunk(&serde_json::json!({"content": "more "}), None);
-            Some((Ok::<_, Error>(chunk), ()))
-        });
-        return builder.streaming(Box::pin(endless));
-    }
-    builder.streaming(stream::iter(events))
+async fn spans(state: State, body: Bytes) -> HttpResponse {
+    state.lock().unwrap().spans.push(body.to_vec());
+    HttpResponse::Ok().finish()
 }
 
-fn chunk(delta: &serde_json::Value, finish: Option<&str>) -> Bytes {
-    let chunk = serde_json::json!({
-        "id": "x", "object": "chat.completion.chunk", "model": "m",
-        "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
-    });
-    Bytes::from(format!("data: {chunk}\n\n"))
+fn record_traceparent(seen: &mut Seen, incoming: &HeaderMap) {
+    let value = incoming.get(headers::TRACEPARENT);
+    let value = value.and_then(|v| v.to_str().ok());
+    seen.traceparents.extend(value.map(str::to_owned));
 }
 
 /// Counts the execution; a path with `lost` breaks off the answer afterwards.
@@ -294,6 +282,7 @@
     let answer = format!("execution {count}");
     let headers = request.headers();
     seen.caller_keys += u32::from(headers.contains_key("authorization"));
+    record_traceparent(&mut seen, headers);
     if request.path().contains("lost") {
         let broken: [Result<Bytes, Error>; 1] = [Err(Error::other("the service dies"))];
         return HttpResponse::Ok().streaming(stream::iter(broken));
