Let a refusal reach a caller that is still sending its body

A refused request whose body was longer than 256 KB was answered, and then the connection was closed with unread bytes. The kernel resets such a connection, so the caller got a write error in place of the refusal.

Waiting for the rest before the answer was ruled out, because a refusal must not be held back; the short wait that keeps a connection usable went from 100 ms to 10 ms. slow_sender now carries Retry-After.

--- a/crates/jujubebeam/src/caller.rs
+++ b/crates/jujubebeam/src/caller.rs
@@ -4,6 +4,7 @@
 mod auth;
 mod body;
 mod chat;
+mod linger;
 mod models;
 mod refusals;
 mod respond;
--- a/crates/jujubebeam/src/caller/body.rs
+++ b/crates/jujubebeam/src/caller/body.rs
@@ -1,34 +1,32 @@
 //! Reads request bodies within a size and a time limit.
 
 use jujubebeam_caller::{CallerError, ErrorKind};
-use ntex::http::ConnectionType;
 use ntex::time::{Millis, timeout};
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::HttpResponse;
 use ntex::web::types::Payload;
 
+use super::linger;
 use super::respond::error_response;
 
 /// Time in which a whole body must arrive.
 const BODY_TIMEOUT: Millis = Millis(10_000);
 
-/// Most that is read of a body whose request is refused.
+/// Most that is read of a body before its request is refused.
 const DRAIN_BYTES: usize = 256 * 1024;
-/// Time for reading the body of a refused request. It bounds how long the refusal is held back.
-const DRAIN_TIMEOUT: Millis = Millis(100);
+/// Time for reading the body before its request is refused. It bounds how long the refusal is held
+/// back.
+const DRAIN_TIMEOUT: Millis = Millis(10);
 
-/// Sends a refusal. A connection that is closed with unread bytes is reset, which can destroy the
-/// answer on its way, so a short rest of the body is read first. If more is to come, the answer
-/// says that the connection closes.
+/// Sends a refusal. If the body ends soon, the connection stays usable; otherwise it is closed when
+/// the rest has arrived.
 pub(crate) async fn refuse(mut payload: Payload, error: CallerError) -> HttpResponse {
     let ended = timeout(DRAIN_TIMEOUT, drain(&mut payload)).await;
-    let mut response = error_response(error);
-    if ended != Ok(true) {
-        response
-            .head_mut()
-            .set_connection_type(ConnectionType::Close);
+    let response = error_response(error);
+    match ended {
+        Ok(true) => response,
+        _ => linger::close_after_body(response, payload),
     }
-    response
 }
 
 /// Returns whether the body ended.
@@ -51,7 +49,8 @@
             ErrorKind::SlowSender,
             format!("the body did not arrive within {} ms", BODY_TIMEOUT.0),
             "send the body faster",
-        )),
+        )
+        .retry_after_s(1)),
     }
 }
 
