Acknowledge usage copies in the same exchange

A copy was answered with a message of its own, which cost a second HTTP exchange for each record. The answer now travels back with the request's answer, as for settings and membership.

--- a/crates/jujubebeam/src/control/usage.rs
+++ b/crates/jujubebeam/src/control/usage.rs
@@ -15,7 +15,7 @@
 
 use super::authority::{self, ControlOrder, PLATFORM};
 use crate::context::Context;
-use crate::part::{Part, call_store, feed, start_ticking};
+use crate::part::{Part, call_store, feed, feed_peer, start_ticking};
 use crate::peers;
 use crate::shared::Shared;
 
@@ -136,14 +136,18 @@
     *last = snapshot;
 }
 
-/// Hands a message to its machine.
-pub(crate) fn receive(context: &Context, from: VmId, message: UsageMessage) {
-    match message {
-        UsageMessage::Collected { .. } => {
-            feed::<Closer>(context, CloserEvent::Message(from, message));
-        }
-        message => feed::<Meter>(context, MeterEvent::Message(from, message)),
+/// Hands a message to its machine and returns the one that goes back in the same exchange. An
+/// acknowledged copy would otherwise cost two exchanges.
+pub(crate) fn receive(context: &Context, from: VmId, message: UsageMessage) -> Option<PeerMessage> {
+    if matches!(message, UsageMessage::Collected { .. }) {
+        feed::<Closer>(context, CloserEvent::Message(from, message));
+        return None;
     }
+    let event = MeterEvent::Message(from, message);
+    feed_peer::<Meter>(context, event, |command| match command {
+        MeterCommand::Send(to, message) if *to == from => Some(PeerMessage::Usage(message.clone())),
+        _ => None,
+    })
 }
 
 /// True if what this vm served is safe on another vm or in a frozen window.
@@ -155,7 +159,10 @@
 
 fn send(context: &Context, to: VmId, message: UsageMessage) {
     if to == context.shared.config.vm {
-        return receive(context, to, message);
+        if let Some(PeerMessage::Usage(answer)) = receive(context, to, message) {
+            send(context, to, answer);
+        }
+        return;
     }
     peers::send(context, to, vec![PeerMessage::Usage(message)]);
 }
--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -125,9 +125,6 @@
         PeerMessage::Membership(message) => membership::deliver(context, from, message),
         PeerMessage::Once(message) => ledger::deliver(context, from, message),
         PeerMessage::Quarantine(message) => crashes::deliver(context, message),
-        PeerMessage::Usage(message) => {
-            usage::receive(context, from, message);
-            None
-        }
+        PeerMessage::Usage(message) => usage::receive(context, from, message),
     }
 }
