Send limits by news only, and less often in large fleets

A digest named every workspace the vm had ever heard of and went to all vms every 500 ms. Ruled out: digests to a random part of the vms, since a share computed from a sample takes the whole limit at each vm that hears no other demand.

--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -92,6 +92,8 @@
     share: f64,
     arrivals: f64,
     own: WorkspaceUse,
+    /// What the last digest said.
+    told: WorkspaceUse,
     peers: BTreeMap<VmId, (WorkspaceUse, Duration)>,
 }
 
@@ -103,6 +105,8 @@
     accounts: BTreeMap<WorkspaceId, Account>,
     last_tick: Duration,
     last_gossip: Option<Duration>,
+    /// Last idle workspace that a digest repeated.
+    repeated: WorkspaceId,
 }
 
 impl Limiter {
@@ -114,6 +118,7 @@
             accounts: BTreeMap::new(),
             last_tick: Duration::ZERO,
             last_gossip: None,
+            repeated: WorkspaceId::default(),
         }
     }
 
@@ -137,7 +142,7 @@
         });
         account.arrivals += 1.0;
         account.fill(limits, &config, now);
-        account.check(limits, &config, now)?;
+        account.check(limits, &config, vms, now)?;
         account.requests -= 1.0;
         account.own.running += 1;
         Ok(())
@@ -168,18 +173,49 @@
             let rate = account.arrivals / elapsed.max(1e-3);
             account.arrivals = 0.0;
             account.own.demand_per_s += weight * (rate - account.own.demand_per_s);
+            // Without an end the decay would keep every workspace in the digests.
+            if rate <= 0.0 && account.own.demand_per_s < self.config.least_demand_per_s {
+                account.own.demand_per_s = 0.0;
+            }
             account.share = account.new_share(self.vms, &self.config, now);
         }
+        let interval = self.config.interval(self.vms);
         let due = self
             .last_gossip
-            .is_none_or(|at| now.saturating_sub(at) >= self.config.gossip_interval);
+            .is_none_or(|at| now.saturating_sub(at) >= interval);
         if !due || self.accounts.is_empty() {
             return;
         }
         self.last_gossip = Some(now);
-        let workspaces = self.accounts.iter().map(|(id, a)| (*id, a.own)).collect();
+        let workspaces = self.digest();
         out.push(LimitCommand::Gossip(LimitDigest { workspaces }));
     }
+
+    /// Workspaces with news, and some of the idle ones in turn: a vm that has restarted learns from
+    /// these what was spent today.
+    fn digest(&mut self) -> Vec<(WorkspaceId, WorkspaceUse)> {
+        let after = self.repeated;
+        let idle = self
+            .accounts
+            .iter()
+            .filter(|(_, a)| !a.has_news() && a.own != WorkspaceUse::default());
+        let (mut later, earlier): (Vec<_>, Vec<_>) =
+            idle.map(|(id, _)| *id).partition(|id| *id > after);
+        later.extend(earlier);
+        later.truncate(self.config.repeated_entries);
+        self.repeated = later.last().copied().unwrap_or(after);
+        for id in later {
+            if let Some(account) = self.accounts.get_mut(&id) {
+                account.told = WorkspaceUse::default();
+            }
+        }
+        let news = self.accounts.iter_mut().filter(|(_, a)| a.has_news());
+        news.map(|(id, account)| {
+            account.told = account.own;
+            (*id, account.own)
+        })
+        .collect()
+    }
 }
 
 impl Machine for Limiter {
@@ -214,6 +250,12 @@
 }
 
 impl Account {
+    /// True if a digest must name the workspace. Receivers forget demand and running requests that
+    /// are not named again.
+    fn has_news(&self) -> bool {
+        self.own != self.told || self.own.running > 0 || self.own.demand_per_s > 0.0
+    }
+
     fn fill(&mut self, limits: &LimitsDocument, config: &LimitConfig, now: Duration) {
         let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
         self.filled_at = now;
@@ -228,6 +270,7 @@
         &self,
         limits: &LimitsDocument,
         config: &LimitConfig,
+        vms: u32,
         now: Duration,
     ) -> Result<(), LimitRefusal> {
         let refuse = |kind, seconds: f64| {
@@ -245,7 +288,7 @@
             let rate = limits.tokens_per_min as f64 * self.share / 60.0;
             return refuse(LimitKind::Tokens, -self.tokens / rate.max(1e-3));
         }
-        let others = self.others(config, now);
+        let others = self.others(config, vms, now);
         if limits.concurrent_requests > 0
             && self.own.running + others.running >= limits.concurrent_requests
         {
@@ -260,10 +303,11 @@
         Ok(())
     }
 
-    fn others(&self, config: &LimitConfig, now: Duration) -> WorkspaceUse {
+    fn others(&self, config: &LimitConfig, vms: u32, now: Duration) -> WorkspaceUse {
+        let expiry = config.expiry(vms);
         let mut sum = WorkspaceUse::default();
         for (used, heard_at) in self.peers.values() {
-            if now.saturating_sub(*heard_at) < config.peer_expiry {
+            if now.saturating_sub(*heard_at) < expiry {
                 sum.demand_per_s += used.demand_per_s;
                 sum.running += used.running;
             }
@@ -274,7 +318,7 @@
     /// The idle shares of all vms and the shares by demand add up to one.
     fn new_share(&self, vms: u32, config: &LimitConfig, now: Duration) -> f64 {
         let equal = 1.0 / f64::from(vms);
-        let total = self.own.demand_per_s + self.others(config, now).demand_per_s;
+        let total = self.own.demand_per_s + self.others(config, vms, now).demand_per_s;
         if total <= 0.0 {
             return equal;
         }
--- a/crates/core/tests/limits_split.rs
+++ b/crates/core/tests/limits_split.rs
@@ -97,6 +97,50 @@
     assert_eq!(refusal.kind, LimitKind::Budget);
 }
 
+/// Guards against digests that name every workspace ever used, and against a restarted vm that
+/// never learns what idle workspaces have spent.
+#[test]
+fn digests_name_few_idle_workspaces_and_in_time_all() {
+    const WORKSPACES: u64 = 200;
+    let config = LimitConfig::default();
+    let mut vm = Limiter::new(config);
+    for id in 0..WORKSPACES {
+        let now = Duration::from_secs(1);
+        let admitted = vm.admit(WorkspaceId(id), &limits(), now);
+        assert!(admitted.is_ok());
+        vm.finish(WorkspaceId(id), 10, 1000);
+    }
+    // Demand has faded after this time.
+    let mut named = std::collections::BTreeSet::new();
+    for step in 0..400 {
+        let now = Duration::from_secs(1) + step * config.gossip_interval;
+        let mut out = Vec::new();
+        vm.step(LimitEvent::Tick, now, &mut out);
+        for LimitCommand::Gossip(digest) in out.into_iter().filter(|_| step >= 300) {
+            assert!(digest.workspaces.len() <= config.repeated_entries);
+            named.extend(digest.workspaces.iter().map(|(id, _)| id.0));
+        }
+    }
+    assert_eq!(named.len() as u64, WORKSPACES);
+}
+
+/// Guards against a running request that the others stop counting because nothing changes.
+#[test]
+fn long_requests_stay_in_the_digests() {
+    let limits = LimitsDocument {
+        concurrent_requests: 1,
+        ..LimitsDocument::default()
+    };
+    let mut vms = six_vms();
+    assert!(vms[0].admit(WORKSPACE, &limits, Duration::ZERO).is_ok());
+    for ms in (0..60_000).step_by(100) {
+        tick(&mut vms, Duration::from_millis(ms));
+    }
+    let now = Duration::from_secs(60);
+    let refusal = vms[3].admit(WORKSPACE, &limits, now);
+    assert_eq!(refusal.map_err(|r| r.kind), Err(LimitKind::Concurrency));
+}
+
 /// Guards against slots that are lost when requests end.
 #[test]
 fn concurrency_is_given_back() {
