Measure control traffic, and state the capacity

'jujubebeam-standin capacity' drives the machines at four sizes and prints bytes, exchanges, processor time, state and store calls per role, with slopes.

--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -5,7 +5,7 @@
 
 use pico_args::Arguments;
 
-use crate::{echo, engine, experiment, fault_cli, load, overhead, platform, service, up};
+use crate::{capacity, echo, engine, experiment, fault_cli, load, overhead, platform, service, up};
 
 const HELP: &str = "\
 jujubebeam-standin: stand-ins for the systems around jujubebeam
@@ -21,6 +21,8 @@
                             [--mix chat|checkout|mixed] [--seed N] [--output table|json]
     jujubebeam-standin overhead [--seed N] [--seconds N]
     jujubebeam-standin vm ARGUMENTS OF jujubebeam
+    jujubebeam-standin capacity [--role settings|membership|scheduler|limits|targets|usage|leases]
+                                [--output table|json]
     jujubebeam-standin experiment NAME [--seeds A..B] [--policy all|NAME] [--output json|table]
                                   [--plot DIR] [--short]
 
@@ -33,6 +35,7 @@
     load        Sends requests, checks every answer and prints latencies.
     overhead    Measures what one vm adds to a direct call.
     vm          Runs the jujubebeam daemon or client.
+    capacity    Measures control traffic per vm; see docs/CAPACITY.md.
     experiment  Measures the decision crate on a virtual clock; see docs/MEASUREMENTS.md.
 
 OPTIONS:
@@ -91,6 +94,7 @@
         "fault" => fault_cli::run(args),
         "load" => load::run(args),
         "overhead" => overhead::run(args),
+        "capacity" => capacity::run(args),
         "experiment" => experiment::run(args),
         other => Err(format!("unknown command {other:?}; see `--help`")),
     }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the systems around jujubebeam, for trying it out and for tests.
 
+mod capacity;
 mod cli;
 mod control;
 mod echo;
