--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -54,11 +54,18 @@
     });
 }
 
+/// All other vms of the list.
+pub(crate) fn others(context: &Context) -> Vec<VmId> {
+    let own = context.shared.config.vm;
+    let list = context.shared.vms();
+    let others = list.vms.iter().map(|v| v.vm).filter(|vm| *vm != own);
+    others.collect()
+}
+
 /// Sends messages to all other vms of the list.
 pub(crate) fn send_to_all(context: &Context, messages: &[PeerMessage]) {
-    let own = context.shared.config.vm;
-    for vm in context.shared.vms().vms.iter().filter(|v| v.vm != own) {
-        send(context, vm.vm, messages.to_vec());
+    for vm in others(context) {
+        send(context, vm, messages.to_vec());
     }
 }
 
@@ -125,9 +132,6 @@
         PeerMessage::Membership(message) => membership::deliver(context, from, message),
         PeerMessage::Once(message) => ledger::deliver(context, from, message),
         PeerMessage::Quarantine(message) => crashes::deliver(context, message),
-        PeerMessage::Usage(message) => {
-            usage::receive(context, from, message);
-            None
-        }
+        PeerMessage::Usage(message) => usage::receive(context, from, message),
     }
 }
