Move split requests from prefill to decode in the daemon

Cause: the daemon ran with `split_prefill: false`, because no KV cache was moved after the first token and `SchedulerCommand::Move` had no effect.

The permit now follows the plan of the scheduler. After the first token of an attempt, `RequestEvent::MoveTo` exports, imports and resumes at the target that is granted already. A stream that cannot move (tool calls, target gone) is reported with `SchedulerEvent::Stayed`, so that the books show where it runs.

Faults found in the books: - `Generated` counts are increments, but the scheduler took each as the total, so contexts never grew; - an attempt that resumed never reported its first token, and was booked as waiting until it ended; - a resumed attempt was charged for the whole answer again; - a cancelled request kept the charge for tokens that were not generated; - tokens that a caller got before it left were not counted against limits; - with the last engine of a role excluded or gone, requests waited until their deadline; engines of the other role now do both.

Ruled out: a second grant for the decode engine. It would count the request twice in the limiter and release the promise between the two.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -317,6 +317,7 @@
             RequestEvent::Closed { attempt, close } => self.closed(attempt, close, out),
             RequestEvent::Budget { granted } => self.budget(granted, out),
             RequestEvent::Move => self.start_move(out),
+            RequestEvent::MoveTo { target } => self.start_move_to(target, out),
             RequestEvent::Exported { attempt, handle } => self.exported(attempt, handle, out),
             RequestEvent::Imported { done } => self.imported(done, out),
             RequestEvent::CallerGone => self.caller_gone(out),
--- a/crates/core/src/request/moving.rs
+++ b/crates/core/src/request/moving.rs
@@ -1,4 +1,4 @@
-//! Moves a stream to another target before a planned change.
+//! Moves a stream to another target: before a planned change, or from prefill to decode.
 //!
 //! The new target is granted before the old one exports, so that a refusal leaves the stream where
 //! it is and nothing is cut.
@@ -30,6 +30,23 @@
         });
     }
 
+    /// Starts a move to a target that is granted already. A stream without a first token has
+    /// nothing to move, and one with a finish reason needs no other target.
+    pub(super) fn start_move_to(&mut self, to: TargetId, out: &mut Vec<RequestCommand>) {
+        let State::Active(active) = &self.state else {
+            return;
+        };
+        let ready = active.head_accepted && active.finish.is_none() && self.delivered_tokens > 0;
+        if !ready || self.moving.is_some() || active.target == to {
+            return;
+        }
+        self.moving = Some(Moving::Exporting { to });
+        out.push(RequestCommand::Export {
+            attempt: active.attempt,
+            target: active.target,
+        });
+    }
+
     pub(super) fn move_granted(&mut self, to: TargetId, out: &mut Vec<RequestCommand>) {
         let State::Active(active) = &self.state else {
             return;
--- a/crates/core/src/request/types.rs
+++ b/crates/core/src/request/types.rs
@@ -83,6 +83,11 @@
     },
     /// The present target is about to be changed; the stream should move.
     Move,
+    /// The rest of the answer belongs on another target, which the scheduler has granted already.
+    MoveTo {
+        /// Target that takes over.
+        target: TargetId,
+    },
     /// Answer to [`RequestCommand::Export`]; `None` if the target could not export.
     Exported {
         /// Attempt whose cache was exported.
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -43,8 +43,12 @@
     target: TargetId,
     decode: Option<TargetId>,
     output_tokens: u64,
+    /// Tokens that this attempt delivered, as far as they were reported.
+    generated: u64,
     work_s: f64,
     streaming: bool,
+    /// Whether the stream could not move, so that it ends where it is.
+    pinned: bool,
 }
 
 /// Scheduler of one route.
@@ -121,11 +125,16 @@
 
     fn estimate(&self, arrival: Arrival, now: Duration) -> Waiting {
         let route = self.config.route;
-        let expected = self.lengths.mean(arrival.workspace, route) as u64;
+        let delivered = arrival.delivered_tokens;
+        let mut expected = self.lengths.mean(arrival.workspace, route) as u64;
+        if delivered > 0 {
+            expected = expected.saturating_sub(delivered).max(1);
+        }
+        let limit = arrival.max_tokens.map_or(u64::MAX, u64::from);
         let output_tokens = arrival
             .known_output_tokens
             .unwrap_or(expected)
-            .min(arrival.max_tokens.map_or(u64::MAX, u64::from));
+            .min(limit.saturating_sub(delivered));
         let uncached = self
             .views
             .values()
@@ -285,8 +294,10 @@
             target,
             decode,
             output_tokens: waiting.output_tokens,
+            generated: 0,
             work_s: waiting.work_s,
             streaming: false,
+            pinned: false,
         };
         self.running.insert(request, running);
     }
@@ -320,16 +331,31 @@
     }
 
     fn generated(&mut self, request: RequestId, tokens: u64) {
-        let Some(running) = self.running.get(&request) else {
+        let Some(running) = self.running.get_mut(&request) else {
             return;
         };
+        running.generated += tokens;
         let view = self.views.get_mut(&running.target);
         if let Some(work) = view.and_then(|v| v.work_mut(request)) {
-            let least = running.arrival.prompt_tokens + tokens;
+            let least = running.arrival.prompt_tokens + running.generated;
             work.context_tokens = work.context_tokens.max(least);
         }
     }
 
+    /// Books a stream where it runs, after a move that was planned did not happen.
+    fn stayed(&mut self, request: RequestId, target: TargetId) {
+        let Some(running) = self.running.get_mut(&request) else {
+            return;
+        };
+        let planned = running.decode.take().unwrap_or(running.target);
+        running.target = target;
+        running.pinned = true;
+        let work = self.views.get_mut(&planned).and_then(|v| v.end(request));
+        if let (Some(work), Some(view)) = (work, self.views.get_mut(&target)) {
+            view.begin(request, work);
+        }
+    }
+
     fn end(&mut self, request: RequestId) -> Option<Running> {
         let running = self.running.remove(&request)?;
         for id in [Some(running.target), running.decode].into_iter().flatten() {
@@ -350,10 +376,27 @@
         let arrival = &running.arrival;
         self.lengths
             .observe(arrival.workspace, self.config.route, output_tokens);
-        let off = output_tokens as f64 - running.output_tokens as f64;
+        let generated = output_tokens.saturating_sub(arrival.delivered_tokens);
+        self.correct(&running, generated);
+    }
+
+    /// Ends a request without a whole answer. Its workspace is charged for the tokens that were
+    /// generated, where they are known.
+    fn cancel(&mut self, request: RequestId) {
+        let Some(running) = self.end(request) else {
+            return;
+        };
+        if running.generated > 0 && self.config.kind == TargetKind::Engine {
+            self.correct(&running, running.generated);
+        }
+    }
+
+    fn correct(&mut self, running: &Running, generated: u64) {
+        let off = generated as f64 - running.output_tokens as f64;
         let off_s = off * self.config.output_token_cost.as_secs_f64();
         // Work that was never done cannot be negative.
         let by_s = off_s.max(-running.work_s);
+        let arrival = &running.arrival;
         self.queue
             .correct(arrival.priority, arrival.workspace, by_s);
     }
@@ -482,7 +525,7 @@
         };
         let promised = running.decode == Some(from);
         let streams_here = running.streaming && running.target == from;
-        if !promised && !streams_here {
+        if (!promised && !streams_here) || running.pinned {
             return;
         }
         let context = running.arrival.prompt_tokens + running.output_tokens / 2;
@@ -543,6 +586,7 @@
                 self.serve(now, out);
             }
             SchedulerEvent::Generated { request, tokens } => self.generated(request, tokens),
+            SchedulerEvent::Stayed { request, target } => self.stayed(request, target),
             SchedulerEvent::Finish {
                 request,
                 output_tokens,
@@ -553,7 +597,7 @@
             }
             SchedulerEvent::Cancel { request } => {
                 if !self.queue.remove(request) {
-                    self.end(request);
+                    self.cancel(request);
                 }
                 self.serve(now, out);
             }
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -95,9 +95,10 @@
         if self.config.kind == TargetKind::Service {
             return self.eligible(arrival, now).next().map(|_| Duration::ZERO);
         }
+        let alone = !self.has_prefill(arrival, now);
         let seconds = self
             .eligible(arrival, now)
-            .filter(|view| self.role_of(view) != Role::Decode)
+            .filter(|view| alone || self.role_of(view) != Role::Decode)
             .map(|view| {
                 let rate = self.config.rates.prefill_tokens_per_s;
                 self.uncached(view, arrival) as f64 / rate
@@ -155,17 +156,17 @@
         let arrival = &waiting.arrival;
         let decode = self.best_decode(waiting, now);
         let left = waiting.deadline_at().saturating_sub(now).as_secs_f64();
+        let has_prefill = self.has_prefill(arrival, now);
         let mut choices = Vec::new();
         for view in self.eligible(arrival, now) {
-            let choice = match self.role_of(view) {
-                Role::Decode => continue,
-                Role::Mixed => self.mixed_choice(view, waiting, now),
-                Role::Prefill => {
-                    let Some((decode, interval_ms, fits)) = decode else {
-                        continue;
-                    };
+            // Where no engine of one role can take the request, those of the other do both, so
+            // that the loss of the last engine of a role does not end its requests.
+            let choice = match (self.role_of(view), decode) {
+                (Role::Decode, _) if has_prefill => continue,
+                (Role::Prefill, Some((decode, interval_ms, fits))) => {
                     self.split_choice(view, arrival, decode, interval_ms, fits, now)
                 }
+                _ => self.mixed_choice(view, waiting, now),
             };
             let mut choice = choice;
             choice.fits &= self.has_room(&choice, room);
@@ -175,6 +176,11 @@
         choices
     }
 
+    fn has_prefill(&self, arrival: &Arrival, now: Duration) -> bool {
+        self.eligible(arrival, now)
+            .any(|view| self.role_of(view) != Role::Decode)
+    }
+
     /// Decode engine with the shortest predicted interval, and whether it has room.
     fn best_decode(&self, waiting: &Waiting, now: Duration) -> Option<(TargetId, f64, bool)> {
         if !self.config.split_prefill {
--- a/crates/core/src/scheduler/types.rs
+++ b/crates/core/src/scheduler/types.rs
@@ -25,6 +25,9 @@
     pub prompt_tokens: u64,
     /// Limit of generated tokens.
     pub max_tokens: Option<u32>,
+    /// Tokens that earlier attempts delivered. They are part of `prompt_tokens`, since a resumed
+    /// attempt computes them again.
+    pub delivered_tokens: u64,
     /// Output length, where it is known in advance.
     pub known_output_tokens: Option<u64>,
     /// Chained hashes of the prompt's pieces.
@@ -58,13 +61,20 @@
         /// Number of tokens since the last such event.
         tokens: u64,
     },
+    /// The stream of a request runs at another target than planned, because it could not move.
+    Stayed {
+        /// The request.
+        request: RequestId,
+        /// Target that generates.
+        target: TargetId,
+    },
     /// A request ended with a whole answer.
     Finish {
         /// The request.
         request: RequestId,
         /// Real length of the prompt.
         prompt_tokens: u64,
-        /// Real length of the answer.
+        /// Real length of the answer, with the tokens of earlier attempts.
         output_tokens: u64,
     },
     /// A request ended otherwise, or its caller left.
--- a/crates/core/tests/support_requests/request_world.rs
+++ b/crates/core/tests/support_requests/request_world.rs
@@ -77,9 +77,12 @@
     world
         .queue
         .push_ms(0, Event::ToRequest(RequestEvent::Start));
+    let target = TargetId(TARGETS - 1);
+    let move_to = RequestEvent::MoveTo { target };
     for (chance, event) in [
         (0.4, RequestEvent::Move),
         (0.2, RequestEvent::Move),
+        (0.4, move_to),
         (0.1, RequestEvent::Expired),
         (0.1, RequestEvent::CallerGone),
     ] {
--- a/crates/jujubebeam/src/caller/chat/attempts.rs
+++ b/crates/jujubebeam/src/caller/chat/attempts.rs
@@ -6,6 +6,7 @@
 use jujubebeam_caller::CallerError;
 use jujubebeam_core::quarantine::Verdict;
 use jujubebeam_core::request::{Attempt, Close, RequestEvent, Resume};
+use jujubebeam_core::settings::TargetSpec;
 use jujubebeam_core::{Clock, TargetId};
 use jujubebeam_engine::{
     EngineClient, EngineClientConfig, EngineRequest, KvHandle, KvImportRequest, ResumeFrom,
@@ -85,8 +86,9 @@
             route,
             workspace,
             model: &self.job.chat.model,
-            prompt_tokens: self.job.prompt_tokens,
+            prompt_tokens: self.job.prompt_tokens + self.machine.delivered_tokens(),
             max_tokens: self.job.chat.max_tokens,
+            delivered_tokens: self.machine.delivered_tokens(),
             prefix_hashes: &[],
             repeatable: true,
             deadline,
@@ -96,11 +98,51 @@
         dispatch::acquire(&self.context, &snapshot, &ask).await
     }
 
-    pub(super) async fn send(&mut self, attempt: Attempt, resume: Option<Resume>) {
-        self.connection = None;
+    /// Starts the move that the scheduler has planned, from prefill to decode or off an engine that
+    /// is about to change. Returns whether there is one.
+    pub(super) fn follow_plan(&mut self) -> bool {
+        let Some(target) = self.permit.as_ref().and_then(Permit::moves_to) else {
+            return false;
+        };
+        if self.delivered_other || self.target(target).is_none() {
+            if let Some(permit) = &mut self.permit {
+                permit.stayed();
+            }
+            return true;
+        }
+        self.feed(RequestEvent::MoveTo { target });
+        true
+    }
+
+    fn target(&self, target: TargetId) -> Option<TargetSpec> {
+        let snapshot = self.context.shared.snapshot()?;
+        snapshot.targets.get(&target).cloned()
+    }
+
+    /// Makes the target of the next attempt the present one.
+    fn switch_to(&mut self, target: TargetId) {
         if let Some(permit) = self.next_permit.take() {
             self.permit = Some(permit);
+            return;
+        }
+        let known = self.permit.as_ref().map(|p| p.target.id);
+        if known == Some(target) {
+            return;
+        }
+        let spec = self.target(target);
+        if let (Some(permit), Some(spec)) = (&mut self.permit, spec) {
+            permit.moved(spec);
         }
+    }
+
+    pub(super) async fn send(
+        &mut self,
+        attempt: Attempt,
+        target: TargetId,
+        resume: Option<Resume>,
+    ) {
+        self.connection = None;
+        self.switch_to(target);
         let Some(address) = self.permit.as_ref().map(|p| p.target.address.clone()) else {
             return;
         };
@@ -208,9 +250,12 @@
         self.feed(RequestEvent::Exported { attempt, handle });
     }
 
-    pub(super) async fn import(&mut self, handle: String) {
+    pub(super) async fn import(&mut self, to: TargetId, handle: String) {
         let source = self.permit.as_ref().map(|p| p.target.address.clone());
-        let target = self.next_permit.as_ref().map(|p| p.target.address.clone());
+        let target = match &self.next_permit {
+            Some(permit) => Some(permit.target.address.clone()),
+            None => self.target(to).map(|t| t.address),
+        };
         let handle = serde_json::from_str::<KvHandle>(&handle).ok();
         let (Some(source_address), Some(target), Some(handle)) = (source, target, handle) else {
             return self.feed(RequestEvent::Imported { done: false });
--- a/crates/jujubebeam/src/caller/chat/driver.rs
+++ b/crates/jujubebeam/src/caller/chat/driver.rs
@@ -41,7 +41,7 @@
     /// Chunk whose text is being delivered.
     chunk: Option<Chunk>,
     /// Whether something other than text was delivered, which no other engine can continue.
-    delivered_other: bool,
+    pub(super) delivered_other: bool,
     usage: Option<Usage>,
     /// Time of the next check of key, deadline and target.
     next_check: Duration,
@@ -125,6 +125,9 @@
         }
         if chunk.has_other && self.job.streamed {
             self.delivered_other = true;
+            if let Some(permit) = &mut self.permit {
+                permit.first_token();
+            }
             let events = output::chunk_event(chunk.value.clone(), self.job.request);
             self.emit(Output::Events(events)).await;
         }
@@ -155,7 +158,10 @@
         if waiting && self.context.shared.clock.now() >= self.job.deadline {
             return self.feed(RequestEvent::Expired);
         }
-        if self.connection.is_some() && self.target_leaves() && !self.delivered_other {
+        if self.connection.is_none() || self.follow_plan() {
+            return;
+        }
+        if self.target_leaves() && !self.delivered_other {
             self.feed(RequestEvent::Move);
         }
     }
@@ -182,6 +188,10 @@
         if output_tokens == 0 {
             return;
         }
+        // The permit stays, because the attempt is still to be cancelled at its engine.
+        if let Some(permit) = &mut self.permit {
+            permit.caller_left(output_tokens);
+        }
         self.record(Used {
             output_tokens,
             ..Used::default()
@@ -204,8 +214,10 @@
                 self.feed(RequestEvent::Budget { granted });
             }
             RequestCommand::Send {
-                attempt, resume, ..
-            } => self.send(attempt, resume).await,
+                attempt,
+                target,
+                resume,
+            } => self.send(attempt, target, resume).await,
             RequestCommand::Deliver { text } => self.deliver(&text).await,
             RequestCommand::Complete { reason, tokens } => self.complete(reason, tokens).await,
             RequestCommand::Fail {
@@ -227,25 +239,25 @@
                 crashes::feed(&self.context, fingerprint, event);
             }
             RequestCommand::Export { attempt, .. } => self.export(attempt).await,
-            RequestCommand::Import { handle, .. } => self.import(handle).await,
+            RequestCommand::Import { to, handle, .. } => self.import(to, handle).await,
             RequestCommand::Release { .. } => self.next_permit = None,
         }
     }
 
     async fn deliver(&mut self, text: &str) {
+        let mut first = false;
         if let Some(permit) = &mut self.permit {
-            if self.machine.delivered_tokens() == 1 {
-                permit.first_token();
-            }
+            first = permit.first_token();
             permit.generated(1);
         }
-        let Some(chunk) = self.chunk.take().filter(|c| c.text == text) else {
-            return;
-        };
-        if self.job.streamed && !chunk.has_other {
+        let chunk = self.chunk.take().filter(|c| c.text == text);
+        if let Some(chunk) = chunk.filter(|c| self.job.streamed && !c.has_other) {
             let events = output::chunk_event(chunk.value, self.job.request);
             self.emit(Output::Events(events)).await;
         }
+        if first {
+            self.follow_plan();
+        }
     }
 
     async fn complete(&mut self, reason: String, tokens: u64) {
--- a/crates/jujubebeam/src/caller/service/call.rs
+++ b/crates/jujubebeam/src/caller/service/call.rs
@@ -36,6 +36,7 @@
         model: "",
         prompt_tokens: 0,
         max_tokens: None,
+        delivered_tokens: 0,
         prefix_hashes: &[],
         repeatable: route.is_repeatable(job.method.as_str()),
         deadline: job.remaining(context),
--- a/crates/jujubebeam/src/dispatch.rs
+++ b/crates/jujubebeam/src/dispatch.rs
@@ -37,6 +37,8 @@
     pub(crate) prompt_tokens: u64,
     /// Limit of generated tokens that the caller set.
     pub(crate) max_tokens: Option<u32>,
+    /// Tokens that earlier attempts delivered. They are part of `prompt_tokens`.
+    pub(crate) delivered_tokens: u64,
     /// Chained hashes of the prompt's pieces, for finding cached prefixes.
     pub(crate) prefix_hashes: &'a [u64],
     /// Whether the request may be sent again after a failure.
@@ -57,8 +59,15 @@
     /// Target to use.
     pub(crate) target: TargetSpec,
     attempt: Attempt,
+    started: bool,
+    /// Tokens that were delivered and not yet reported.
+    unreported_tokens: u64,
 }
 
+/// Tokens after which the scheduler hears of a growing context. Estimates need no finer figure, and
+/// each report takes the lock of the route.
+const REPORTED_TOKENS: u64 = 16;
+
 /// One attempt in the books of the scheduler and the limiter, until it is dropped.
 #[derive(Debug)]
 struct Attempt {
@@ -70,23 +79,74 @@
     /// dropped.
     id: RequestId,
     waits: bool,
+    /// Prompt and output tokens of a whole answer.
     finished: Option<(u64, u64)>,
+    /// Output tokens that the caller got before it left.
+    left_with: u64,
 }
 
 impl Permit {
-    /// Reports the first token, so that the scheduler learns how long prefill took.
-    pub(crate) fn first_token(&mut self) {
+    fn new(target: TargetSpec, attempt: Attempt) -> Self {
+        Self {
+            target,
+            attempt,
+            started: false,
+            unreported_tokens: 0,
+        }
+    }
+
+    /// Reports the first token of the attempt, with which a split request leaves its prefill
+    /// engine in the books. Later calls have no effect and return false.
+    pub(crate) fn first_token(&mut self) -> bool {
+        if self.started {
+            return false;
+        }
+        self.started = true;
         let request = self.attempt.id;
         self.attempt.feed(SchedulerEvent::FirstToken { request });
+        true
     }
 
-    /// Reports generated tokens.
+    /// Counts generated tokens, and reports them from time to time.
     pub(crate) fn generated(&mut self, tokens: u64) {
+        self.unreported_tokens += tokens;
+        if self.unreported_tokens >= REPORTED_TOKENS {
+            self.report_tokens();
+        }
+    }
+
+    fn report_tokens(&mut self) {
         let request = self.attempt.id;
+        let tokens = std::mem::take(&mut self.unreported_tokens);
         self.attempt
             .feed(SchedulerEvent::Generated { request, tokens });
     }
 
+    /// Target to which the stream must move: the granted decode engine after the first token, or
+    /// the engine that the scheduler chose because the present one is about to change.
+    pub(crate) fn moves_to(&self) -> Option<TargetId> {
+        let to = self.attempt.route.move_of(self.attempt.id)?;
+        (self.started && to != self.target.id).then_some(to)
+    }
+
+    /// Continues at the target of a move.
+    pub(crate) fn moved(&mut self, target: TargetSpec) {
+        self.target = target;
+    }
+
+    /// Reports that the stream cannot move and ends where it is.
+    pub(crate) fn stayed(&mut self) {
+        let (request, target) = (self.attempt.id, self.target.id);
+        self.attempt.route.set_move(request, None);
+        self.attempt
+            .feed(SchedulerEvent::Stayed { request, target });
+    }
+
+    /// Reports that the caller left after it got `output_tokens`, which count against limits.
+    pub(crate) fn caller_left(&mut self, output_tokens: u64) {
+        self.attempt.left_with = output_tokens;
+    }
+
     /// Reports the end of the attempt with the real token counts.
     pub(crate) fn finish(mut self, prompt_tokens: u64, output_tokens: u64) {
         self.attempt.finished = Some((prompt_tokens, output_tokens));
@@ -100,16 +160,25 @@
     }
 }
 
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if self.unreported_tokens > 0 {
+            self.report_tokens();
+        }
+    }
+}
+
 impl Drop for Attempt {
     fn drop(&mut self) {
         let request = self.id;
+        self.route.forget(request);
         if self.waits {
             self.route.give_up(request);
         }
         if self.finished.is_some() {
             self.route.retries().succeeded();
         }
-        let (prompt_tokens, output_tokens) = self.finished.unwrap_or_default();
+        let (prompt_tokens, output_tokens) = self.finished.unwrap_or((0, self.left_with));
         self.feed(match self.finished {
             Some(_) => SchedulerEvent::Finish {
                 request,
@@ -172,7 +241,7 @@
             Some(Verdict::Run { target }) => {
                 let target = snapshot.targets.get(&target).cloned();
                 let target = target.ok_or_else(|| no_target(1))?;
-                return Ok(Permit { target, attempt });
+                return Ok(Permit::new(target, attempt));
             }
             Some(Verdict::Refuse { kind, retry_after }) => return Err(refusal(kind, retry_after)),
             // The dropped attempt gives back what the limiter counted.
@@ -202,6 +271,7 @@
         id,
         waits: true,
         finished: None,
+        left_with: 0,
     };
     attempt.feed(SchedulerEvent::Arrival(arrival(id, ask)));
     let verdict = verdict.await.ok();
@@ -240,6 +310,7 @@
         weight: ask.workspace.map_or(1, |w| w.weight),
         prompt_tokens: ask.prompt_tokens,
         max_tokens: ask.max_tokens,
+        delivered_tokens: ask.delivered_tokens,
         known_output_tokens: None,
         prefix: ask.prefix_hashes.iter().copied().collect(),
         repeatable: ask.repeatable,
--- a/crates/jujubebeam/src/dispatch/dispatcher.rs
+++ b/crates/jujubebeam/src/dispatch/dispatcher.rs
@@ -36,6 +36,8 @@
 }
 
 type Waiters = HashMap<RequestId, oneshot::Sender<Verdict>>;
+/// Targets to which streams move, for each attempt that has or awaits a target.
+type Moves = HashMap<RequestId, Option<TargetId>>;
 
 /// Scheduler of one route. Permits keep it while their requests run, even if settings replace it.
 #[derive(Debug)]
@@ -45,6 +47,7 @@
     scheduler: Mutex<Scheduler>,
     /// `None` once the scheduler is replaced.
     waiters: Mutex<Option<Waiters>>,
+    moves: Mutex<Moves>,
     retries: Mutex<RetryBudget>,
 }
 
@@ -84,6 +87,7 @@
             config,
             scheduler: Mutex::new(Scheduler::new(seeded)),
             waiters: Mutex::new(Some(Waiters::default())),
+            moves: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(LimitConfig::default())),
         }
     }
@@ -97,6 +101,7 @@
     /// replaced.
     pub(crate) fn wait(&self, attempt: RequestId) -> oneshot::Receiver<Verdict> {
         let (sender, receiver) = oneshot::channel();
+        lock(&self.moves).insert(attempt, None);
         if let Some(waiters) = lock(&self.waiters).as_mut() {
             waiters.insert(attempt, sender);
         }
@@ -110,6 +115,23 @@
         }
     }
 
+    /// Target to which the scheduler moves an attempt's stream, if it does.
+    pub(crate) fn move_of(&self, attempt: RequestId) -> Option<TargetId> {
+        lock(&self.moves).get(&attempt).copied().flatten()
+    }
+
+    /// Sets or clears the target of a move. An attempt that ended is not taken up again.
+    pub(crate) fn set_move(&self, attempt: RequestId, to: Option<TargetId>) {
+        if let Some(target) = lock(&self.moves).get_mut(&attempt) {
+            *target = to;
+        }
+    }
+
+    /// Forgets an attempt that ended.
+    pub(crate) fn forget(&self, attempt: RequestId) {
+        lock(&self.moves).remove(&attempt);
+    }
+
     /// The budget for further attempts on the route.
     pub(crate) fn retries(&self) -> MutexGuard<'_, RetryBudget> {
         lock(&self.retries)
@@ -129,17 +151,20 @@
     fn perform(&self, command: SchedulerCommand) -> Option<Digest> {
         match command {
             SchedulerCommand::Dispatch {
-                request, target, ..
-            } => self.answer(request, Verdict::Run { target }),
+                request,
+                target,
+                decode,
+            } => {
+                self.set_move(request, decode);
+                self.answer(request, Verdict::Run { target });
+            }
             SchedulerCommand::Refuse {
                 request,
                 kind,
                 retry_after,
             } => self.answer(request, Verdict::Refuse { kind, retry_after }),
             SchedulerCommand::Digest(digest) => return Some(digest),
-            SchedulerCommand::Move { request, .. } => {
-                log::debug!("route: request {request} stays where it runs");
-            }
+            SchedulerCommand::Move { request, to, .. } => self.set_move(request, Some(to)),
         }
         None
     }
@@ -301,8 +326,6 @@
         token_interval: Duration::from_millis(settings.token_interval_target_ms),
         low_priority_share: f64::from(snapshot.fleet.policy.low_priority_share_percent) / 100.0,
         shared_targets: snapshot.routes.iter().any(shares_group),
-        // The request path does not move KV caches, so prompt and answer share an engine.
-        split_prefill: false,
         ..SchedulerConfig::default()
     }
 }
--- a/crates/jujubebeam/tests/support/mod.rs
+++ b/crates/jujubebeam/tests/support/mod.rs
@@ -10,8 +10,11 @@
 use jujubebeam_caller::headers;
 use jujubebeam_core::VmId;
 use jujubebeam_core::settings::KeyHash;
-use jujubebeam_core::targets::LoadReport;
-use jujubebeam_engine::{EngineRequest, paths as engine_paths};
+use jujubebeam_core::targets::{LoadReport, Role};
+use jujubebeam_engine::{
+    EngineAnswer, EngineRequest, KvExportRequest, KvHandle, KvImportRequest, ResumeFrom,
+    paths as engine_paths,
+};
 use jujubebeam_operator::{FLEET_KEY, TEAMS_PREFIX};
 use jujubebeam_store::wire::*;
 use jujubebeam_vmlist::{ListedState, ListedVm, VM_LIST_PATH, VmList};
@@ -30,6 +33,20 @@
     pub(crate) executions: BTreeMap<String, u32>,
     pub(crate) cancelled: Vec<String>,
     pub(crate) caller_keys: u32,
+    /// Attempts that engines ran, in their order.
+    pub(crate) attempts: Vec<SeenAttempt>,
+    /// Imports that were asked for.
+    pub(crate) imports: Vec<KvImportRequest>,
+}
+
+/// An attempt as its engine saw it.
+#[derive(Clone, Debug)]
+#[allow(dead_code, reason = "each test file uses a part of the fakes")]
+pub(crate) struct SeenAttempt {
+    pub(crate) role: Role,
+    pub(crate) id: String,
+    pub(crate) prompt: String,
+    pub(crate) resume: Option<ResumeFrom>,
 }
 
 pub(crate) type Shared = Arc<Mutex<Seen>>;
@@ -53,10 +70,16 @@
 }
 
 impl Fleet {
+    #[allow(dead_code, reason = "each test file uses a part of the fakes")]
     pub(crate) async fn start() -> Self {
+        Self::with_roles([Role::Mixed; 2]).await
+    }
+
+    /// Two vms with two engines of these roles.
+    pub(crate) async fn with_roles(roles: [Role; 2]) -> Self {
         let seen = Shared::default();
-        let platform = serve(&seen).await;
-        let targets = [serve(&seen).await, serve(&seen).await];
+        let platform = serve(&seen, Role::Mixed).await;
+        let targets = [serve(&seen, roles[0]).await, serve(&seen, roles[1]).await];
         put_settings(&seen, targets[0].addr(), targets[1].addr());
         let mut fleet = Self {
             seen,
@@ -104,11 +127,12 @@
     listener.local_addr().unwrap()
 }
 
-async fn serve(seen: &Shared) -> test::TestServer {
+async fn serve(seen: &Shared, role: Role) -> test::TestServer {
     let seen = seen.clone();
     test::server(async move || {
         App::new()
             .state(seen.clone())
+            .state(role)
             .route(paths::RANGE, web::post().to(range))
             .route(paths::TXN, web::post().to(txn))
             .route(paths::LEASE_GRANT, web::post().to(grant))
@@ -116,6 +140,8 @@
             .route(engine_paths::LOAD, web::get().to(load))
             .route(engine_paths::CHAT, web::post().to(chat))
             .route(engine_paths::CANCEL, web::post().to(cancel))
+            .route(engine_paths::KV_EXPORT, web::post().to(export))
+            .route(engine_paths::KV_IMPORT, web::post().to(import))
             .service(web::resource("/{path}*").to(execute))
     })
     .await
@@ -222,8 +248,32 @@
     HttpResponse::Ok().json(&state.lock().unwrap().vms)
 }
 
-async fn load() -> HttpResponse {
-    HttpResponse::Ok().json(&LoadReport::default())
+async fn load(role: web::types::State<Role>) -> HttpResponse {
+    HttpResponse::Ok().json(&LoadReport {
+        role: *role,
+        ..LoadReport::default()
+    })
+}
+
+/// The exported cache is named after the prompt, so that the import knows how to fail.
+async fn export(state: State, request: web::types::Json<KvExportRequest>) -> HttpResponse {
+    let seen = state.lock().unwrap();
+    let attempt = seen.attempts.iter().find(|a| a.id == request.attempt_id);
+    let prompt = attempt.map_or("", |a| a.prompt.as_str());
+    if prompt.contains("export fails") {
+        return HttpResponse::NotFound().finish();
+    }
+    HttpResponse::Ok().json(&KvHandle {
+        handle: prompt.to_owned(),
+        size_bytes: 1,
+        context_tokens: 1,
+    })
+}
+
+async fn import(state: State, request: web::types::Json<KvImportRequest>) -> HttpResponse {
+    let done = !request.handle.handle.contains("import fails");
+    state.lock().unwrap().imports.push(request.into_inner());
+    HttpResponse::Ok().json(&EngineAnswer { done })
 }
 
 async fn cancel(state: State, body: Bytes) -> HttpResponse {
@@ -232,17 +282,28 @@
     HttpResponse::Ok().json(&serde_json::json!({"done": true}))
 }
 
-/// The prompt says how the engine fails: `cut` and `crossed` on the first attempt, `poison` on
-/// every attempt, `endless` never ends.
-async fn chat(request: web::types::Json<EngineRequest>) -> HttpResponse {
+/// The prompt says how the engine fails: `cut` and `crossed` on the first attempt, `decode dies` on
+/// a decode engine, `poison` on every attempt, `endless` never ends.
+async fn chat(
+    state: State,
+    role: web::types::State<Role>,
+    request: web::types::Json<EngineRequest>,
+) -> HttpResponse {
     let prompt = request.chat.messages[0].content.clone();
+    state.lock().unwrap().attempts.push(SeenAttempt {
+        role: *role,
+        id: request.attempt_id.clone(),
+        prompt: prompt.clone(),
+        resume: request.resume.clone(),
+    });
     let first = request.attempt_id.ends_with("-1");
     let crossed = prompt.contains("crossed") && first;
     let resumed = request.resume.as_ref();
     let start = resumed.map_or(0, |r| r.delivered_tokens);
     let known: String = (0..start).map(|i| format!("t{i} ")).collect();
     assert_eq!(known, resumed.map_or("", |r| &r.delivered_text));
-    let cut = prompt.contains("poison") || (prompt.contains("cut") && first);
+    let dies = prompt.contains("decode dies") && *role == Role::Decode;
+    let cut = dies || prompt.contains("poison") || (prompt.contains("cut") && first);
     let end = if cut { start + 3 } else { TOKENS };
     let mut events: Vec<Result<Bytes, Error>> = Vec::new();
     for i in start..end {
