--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -1,10 +1,9 @@
-//! Limits of workspaces, split over the vms by demand, and retry budgets.
+//! Limits of workspaces, split over the vms by demand.
 //!
 //! A vm's share of a limit follows its part of the demand of all vms. Shares follow demand one
 //! gossip interval late, so a limit is overshot by at most the growth of demand in that interval.
 
 mod config;
-mod retry;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -13,7 +12,6 @@
 use strum::{Display, IntoStaticStr};
 
 pub use config::LimitConfig;
-pub use retry::RetryBudget;
 
 use crate::settings::document::LimitsDocument;
 use crate::{Machine, VmId, WorkspaceId};
--- a/crates/core/src/limits/config.rs
+++ b/crates/core/src/limits/config.rs
@@ -25,10 +25,6 @@
     /// Part of an equal share that a vm without demand keeps, so that its first request is not
     /// refused.
     pub idle_share: f64,
-    /// Retries per successful request.
-    pub retry_share: f64,
-    /// Retries per second that are allowed without successes.
-    pub retry_floor_per_s: f64,
 }
 
 impl Default for LimitConfig {
@@ -42,8 +38,6 @@
             demand_window: Duration::from_secs(2),
             burst: Duration::from_secs(1),
             idle_share: 0.25,
-            retry_share: 0.1,
-            retry_floor_per_s: 1.0,
         }
     }
 }
--- a/crates/core/tests/limits_split.rs
+++ b/crates/core/tests/limits_split.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use jujubebeam_core::limits::{
-    LimitCommand, LimitConfig, LimitEvent, LimitKind, Limiter, RetryBudget,
-};
+use jujubebeam_core::limits::{LimitCommand, LimitConfig, LimitEvent, LimitKind, Limiter};
 use jujubebeam_core::settings::document::LimitsDocument;
 use jujubebeam_core::{Machine, VmId, WorkspaceId};
 
@@ -159,15 +157,3 @@
         vm.finish(WORKSPACE, 0, 0);
     }
 }
-
-/// Guards against retries that multiply the load of an overload.
-#[test]
-fn retries_stay_within_a_tenth_of_successes() {
-    let mut budget = RetryBudget::new(LimitConfig::default());
-    let now = Duration::ZERO;
-    for _ in 0..100 {
-        budget.succeeded();
-    }
-    let retries = (0..1000).filter(|_| budget.try_spend(now)).count();
-    assert!((1..=11).contains(&retries), "{retries}");
-}
--- a/crates/core/tests/request_budget.rs
+++ b/crates/core/tests/request_budget.rs
@@ -20,3 +20,15 @@
     now += Duration::from_secs(1);
     assert_eq!((0..100).filter(|_| budget.take(now)).count(), 1);
 }
+
+/// Guards against retries that multiply the load of an overload.
+#[test]
+fn retries_stay_within_a_tenth_of_successes() {
+    let now = Duration::ZERO;
+    let mut budget = RetryBudget::new(RetryBudgetConfig::default(), now);
+    for _ in 0..100 {
+        budget.succeeded();
+    }
+    let retries = (0..1000).filter(|_| budget.take(now)).count();
+    assert!((1..=11).contains(&retries), "{retries}");
+}
--- a/crates/jujubebeam/src/caller/service/call.rs
+++ b/crates/jujubebeam/src/caller/service/call.rs
@@ -37,6 +37,7 @@
         workspace: job.workspace.and_then(|id| snapshot.workspaces.get(&id)),
         prompt_tokens: 0,
         max_tokens: None,
+        delivered_tokens: 0,
         prefix_hashes: &[],
         repeatable: route.is_repeatable(job.method.as_str()),
         deadline: job.remaining(context),
--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -62,13 +62,6 @@
     others.collect()
 }
 
-/// Sends messages to all other vms of the list.
-pub(crate) fn send_to_all(context: &Context, messages: &[PeerMessage]) {
-    for vm in others(context) {
-        send(context, vm, messages.to_vec());
-    }
-}
-
 async fn receive(context: web::types::State<Context>, body: Bytes) -> HttpResponse {
     let envelope: Envelope<PeerMessage> = match decode(&body) {
         Ok(envelope) => envelope,
--- a/crates/jujubebeam/tests/support/engine.rs
+++ b/crates/jujubebeam/tests/support/engine.rs
@@ -4,14 +4,14 @@
 
 use futures_util::{StreamExt, stream};
 use jujubebeam_caller::headers;
-use jujubebeam_core::targets::{LoadReport, TargetState};
+use jujubebeam_core::targets::{LoadReport, Role, TargetState};
 use jujubebeam_engine::{
     EngineAnswer, EngineRequest, KvExportRequest, KvHandle, KvImportRequest, paths,
 };
 use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
 
-use super::{State, record_traceparent};
+use super::{SeenAttempt, State, record_traceparent};
 
 const TOKENS: u64 = 8;
 
@@ -30,8 +30,11 @@
     host.to_str().unwrap().to_owned()
 }
 
-async fn load(state: State, request: HttpRequest) -> HttpResponse {
-    let mut report = LoadReport::default();
+async fn load(state: State, role: web::types::State<Role>, request: HttpRequest) -> HttpResponse {
+    let mut report = LoadReport {
+        role: *role,
+        ..LoadReport::default()
+    };
     if state.lock().unwrap().draining == Some(engine(&request)) {
         report.state = TargetState::Draining;
     }
@@ -40,20 +43,27 @@
 
 async fn export(state: State, body: web::types::Json<KvExportRequest>) -> HttpResponse {
     let attempt = body.into_inner().attempt_id;
+    let mut seen = state.lock().unwrap();
+    if seen.prompt_of(&attempt).contains("export fails") {
+        return HttpResponse::NotFound().finish();
+    }
     let handle = KvHandle {
         handle: format!("kv-{attempt}"),
         size_bytes: 1,
         context_tokens: 1,
     };
-    state.lock().unwrap().exported.push(attempt);
+    seen.exported.push(attempt);
     HttpResponse::Ok().json(&handle)
 }
 
 async fn import(state: State, body: web::types::Json<KvImportRequest>) -> HttpResponse {
     let body = body.into_inner();
+    let mut seen = state.lock().unwrap();
+    let attempt = body.handle.handle.trim_start_matches("kv-");
+    let done = !seen.prompt_of(attempt).contains("import fails");
     let import = (body.handle.handle, body.source_address);
-    state.lock().unwrap().imported.push(import);
-    HttpResponse::Ok().json(&EngineAnswer { done: true })
+    seen.imported.push(import);
+    HttpResponse::Ok().json(&EngineAnswer { done })
 }
 
 async fn cancel(state: State, body: Bytes) -> HttpResponse {
@@ -62,22 +72,31 @@
     HttpResponse::Ok().json(&serde_json::json!({"done": true}))
 }
 
-/// The prompt says how the engine fails: `cut` and `crossed` on the first attempt, `poison` on
-/// every attempt, `endless` never ends. `move` makes the engine drain after three tokens.
+/// The prompt says how the engine fails: `cut` and `crossed` on the first attempt, `decode dies` on
+/// a decode engine, `poison` on every attempt, `endless` never ends. `move` makes the engine drain
+/// after three tokens.
 async fn chat(
     state: State,
+    role: web::types::State<Role>,
     http: HttpRequest,
     request: web::types::Json<EngineRequest>,
 ) -> HttpResponse {
     record_traceparent(&mut state.lock().unwrap(), http.headers());
     let prompt = request.chat.messages[0].content.clone();
+    state.lock().unwrap().attempts.push(SeenAttempt {
+        role: *role,
+        id: request.attempt_id.clone(),
+        prompt: prompt.clone(),
+        resume: request.resume.clone(),
+    });
     let first = request.attempt_id.ends_with("-1");
     let crossed = prompt.contains("crossed") && first;
     let resumed = request.resume.as_ref();
     let start = resumed.map_or(0, |r| r.delivered_tokens);
     let known: String = (0..start).map(|i| format!("t{i} ")).collect();
     assert_eq!(known, resumed.map_or("", |r| &r.delivered_text));
-    let cut = prompt.contains("poison") || (prompt.contains("cut") && first);
+    let dies = prompt.contains("decode dies") && *role == Role::Decode;
+    let cut = dies || prompt.contains("poison") || (prompt.contains("cut") && first);
     let end = if cut { start + 3 } else { TOKENS };
     let mut events: Vec<Result<Bytes, Error>> = Vec::new();
     for i in start..end {
--- a/crates/jujubebeam/tests/support/mod.rs
+++ b/crates/jujubebeam/tests/support/mod.rs
@@ -15,6 +15,8 @@
 use jujubebeam_caller::headers;
 use jujubebeam_core::VmId;
 use jujubebeam_core::settings::KeyHash;
+use jujubebeam_core::targets::Role;
+use jujubebeam_engine::ResumeFrom;
 use jujubebeam_operator::{FLEET_KEY, TEAMS_PREFIX};
 use jujubebeam_store::wire::*;
 use jujubebeam_vmlist::{ListedState, ListedVm, VM_LIST_PATH, VmList};
@@ -43,14 +45,33 @@
     pub(crate) store_down: bool,
     /// Engine that is to be drained.
     pub(crate) draining: Option<String>,
+    /// Attempts that engines ran, in their order.
+    pub(crate) attempts: Vec<SeenAttempt>,
     /// Attempts whose KV cache was exported.
     pub(crate) exported: Vec<String>,
-    /// Handles that were imported, with the engine that exported them.
+    /// Handles whose import was asked for, with the engine that exported them.
     pub(crate) imported: Vec<(String, String)>,
     /// Handles that answers were resumed from.
     pub(crate) resumed: Vec<String>,
 }
 
+impl Seen {
+    /// Prompt of an attempt.
+    pub(crate) fn prompt_of(&self, attempt: &str) -> String {
+        let found = self.attempts.iter().find(|a| a.id == attempt);
+        found.map(|a| a.prompt.clone()).unwrap_or_default()
+    }
+}
+
+/// An attempt as its engine saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct SeenAttempt {
+    pub(crate) role: Role,
+    pub(crate) id: String,
+    pub(crate) prompt: String,
+    pub(crate) resume: Option<ResumeFrom>,
+}
+
 pub(crate) type Shared = Arc<Mutex<Seen>>;
 type State = web::types::State<Shared>;
 
@@ -73,9 +94,14 @@
 
 impl Fleet {
     pub(crate) async fn start(settings: &str) -> Self {
+        Self::with_roles(settings, [Role::Mixed; 2]).await
+    }
+
+    /// Two vms with two engines of these roles.
+    pub(crate) async fn with_roles(settings: &str, roles: [Role; 2]) -> Self {
         let seen = Shared::default();
-        let platform = serve(&seen).await;
-        let targets = [serve(&seen).await, serve(&seen).await];
+        let platform = serve(&seen, Role::Mixed).await;
+        let targets = [serve(&seen, roles[0]).await, serve(&seen, roles[1]).await];
         put_settings(&seen, targets[0].addr(), targets[1].addr());
         let mut fleet = Self {
             seen,
@@ -126,7 +152,7 @@
 
 pub(crate) async fn start_collector() -> Collector {
     let seen = Shared::default();
-    let server = serve(&seen).await;
+    let server = serve(&seen, Role::Mixed).await;
     Collector { seen, server }
 }
 
@@ -135,11 +161,12 @@
     listener.local_addr().unwrap()
 }
 
-async fn serve(seen: &Shared) -> test::TestServer {
+async fn serve(seen: &Shared, role: Role) -> test::TestServer {
     let seen = seen.clone();
     test::server(async move || {
         App::new()
             .state(seen.clone())
+            .state(role)
             .route(paths::RANGE, web::post().to(range))
             .route(paths::TXN, web::post().to(txn))
             .route(paths::LEASE_GRANT, web::post().to(grant))
