Measure the overhead of a vm by both paths at once, and chat too

- Arrivals of the direct and the proxied path are interleaved in one open loop at half of the measured capacity, by the same threads.
- Short chat requests are measured as well; the echo stand-in plays an engine.
- The vm's time without a core is shown (schedstat), because a machine that is shared distorts the tail.

Ruled out: 'no_target' errors in the first chat runs came from the stand-in, which answered without reading the body, so that its server cut connections.

--- a/crates/jujubebeam/src/recorder.rs
+++ b/crates/jujubebeam/src/recorder.rs
@@ -37,6 +37,10 @@
         },
     };
     feed::<Meter>(context, event);
+    // A fleet of one vm has nobody who could keep a copy.
+    if context.shared.vms().vms.len() < 2 {
+        return context.shared.usage_copied(ticket);
+    }
     if timeout(COPY_LIMIT, copied).await.is_err() {
         context.shared.usage_copied(ticket);
         log::debug!("usage: no copy within {} ms", COPY_LIMIT.0);
--- a/crates/standin/src/overhead.rs
+++ b/crates/standin/src/overhead.rs
@@ -8,17 +8,19 @@
 
 use jujubebeam_core::VmId;
 use jujubebeam_core::settings::KeyHash;
+use jujubebeam_engine::paths;
 use jujubebeam_vmlist::{ListedState, ListedVm, VmList};
 use pico_args::Arguments;
 
 use crate::up::example::KEY;
 use crate::up::processes::Processes;
 use crate::up::{wait_until, write_settings};
-use drive::{Drive, Measured};
+use drive::{Call, Drive, Measured};
 
 /// Connections of the closed loop; enough to keep one worker busy.
 const CONNECTIONS: usize = 32;
 const ECHO_PATH: &str = "/echo/stock";
+const MODEL: &str = "echo";
 /// A ready vm reads the target's first load report within half a second.
 const WARM_UP: Duration = Duration::from_secs(2);
 
@@ -92,8 +94,13 @@
     fn settings(&self) -> Vec<(String, String)> {
         let fleet = format!(
             "zones: [brest]\nroutes:\n  - {{name: echo, kind: service, path_prefix: /echo, \
-             group: echo}}\ngroups:\n  - name: echo\n    kind: service\n    targets:\n      \
-             - {{name: echo-1, address: \"{}\", zone: brest}}\n",
+             group: echo}}\n  - {{name: chat, kind: engine, path_prefix: {}, models: [{MODEL}], \
+             group: engines}}\ngroups:\n  - name: echo\n    kind: service\n    targets:\n      \
+             - {{name: echo-1, address: \"{}\", zone: brest}}\n  - name: engines\n    \
+             kind: engine\n    targets:\n      \
+             - {{name: engine-1, address: \"{}\", zone: brest}}\n",
+            paths::CHAT,
+            self.echo,
             self.echo
         );
         let team = format!(
@@ -113,24 +120,55 @@
     let layout = Layout::new()?;
     let vm_process = start(processes, &layout)?;
     bring_up(&layout)?;
-    let vm = format!("http://{}{ECHO_PATH}", layout.caller);
-    let direct = format!("http://{}{ECHO_PATH}", layout.echo);
+    let chat = format!(
+        r#"{{"model":"{MODEL}","max_tokens":1,"messages":[{{"role":"user","content":"fit?"}}]}}"#
+    );
+    let mut text = String::new();
+    for (kind, path, body) in [
+        ("plain service", ECHO_PATH, None),
+        ("short chat", paths::CHAT, Some(chat)),
+    ] {
+        let call = |address: SocketAddr| Call {
+            url: format!("http://{address}{path}"),
+            body: body.clone(),
+        };
+        let both = [call(layout.echo), call(layout.caller)];
+        text.push_str(&measure_kind(kind, both, vm_process, seed, time)?);
+    }
+    Ok(text)
+}
+
+/// Measures the capacity of the vm, and then times at half of it by both paths at once.
+fn measure_kind(
+    kind: &str,
+    [direct, vm]: [Call; 2],
+    vm_process: u32,
+    seed: u64,
+    time: Duration,
+) -> Result<String, String> {
     drive::closed(&vm, CONNECTIONS, WARM_UP);
     let cpu_before = cpu_seconds(vm_process)?;
     let full = drive::closed(&vm, CONNECTIONS, time);
     let cpu = cpu_seconds(vm_process)? - cpu_before;
     let rate = full.per_s() / 2.0;
-    let paced = |url: &str, seed| {
-        drive::open(&Drive {
-            url: url.to_owned(),
-            rate,
-            time,
-            seed,
-        })
+    let cpu_before = cpu_seconds(vm_process)?;
+    let wait_before = cpu_wait_seconds(vm_process)?;
+    let measured = drive::open(&Drive {
+        paths: vec![direct, vm],
+        rate,
+        time,
+        seed,
+    });
+    let [by_itself, by_vm] = measured.as_slice() else {
+        return Err("a path was not measured".into());
     };
-    let by_vm = paced(&vm, seed);
-    let by_itself = paced(&direct, seed);
-    Ok(table(&full, cpu, rate, &by_vm, &by_itself))
+    let elapsed = by_vm.elapsed.as_secs_f64();
+    let used = (cpu_seconds(vm_process)? - cpu_before) / elapsed;
+    let waited = (cpu_wait_seconds(vm_process)? - wait_before) / elapsed;
+    let table = table(&full, cpu, rate, by_vm, by_itself);
+    Ok(format!(
+        "{kind}: {table}at half load the vm used {used:.2} cores and waited for {waited:.2}\n"
+    ))
 }
 
 fn start(processes: &mut Processes, layout: &Layout) -> Result<u32, String> {
@@ -174,6 +212,22 @@
     Ok(ticks / TICKS_PER_S)
 }
 
+/// Time for which the threads of a process were ready to run but had no core. On a machine that
+/// others use, it tells how much of the vm's time is not its own.
+fn cpu_wait_seconds(process: u32) -> Result<f64, String> {
+    let path = format!("/proc/{process}/task");
+    let threads = fs::read_dir(&path).map_err(|e| format!("{path}: {e}"))?;
+    let mut waited_ns = 0;
+    for thread in threads.flatten() {
+        let text = fs::read_to_string(thread.path().join("schedstat")).unwrap_or_default();
+        let field = text.split_whitespace().nth(1);
+        waited_ns += field
+            .and_then(|f| f.parse::<u64>().ok())
+            .unwrap_or_default();
+    }
+    Ok(Duration::from_nanos(waited_ns).as_secs_f64())
+}
+
 fn table(full: &Measured, cpu: f64, rate: f64, vm: &Measured, direct: &Measured) -> String {
     let quantiles = |m: &Measured| (m.times.quantile_ms(0.5), m.times.quantile_ms(0.99));
     let ((vm50, vm99), (direct50, direct99)) = (quantiles(vm), quantiles(direct));
@@ -197,6 +251,12 @@
             "{name:<12}{count:>10}{p50:>10.3}{p99:>10.3}{errors:>8}\n"
         ));
     }
+    for error in [full, vm, direct]
+        .iter()
+        .filter_map(|m| m.first_error.as_ref())
+    {
+        text.push_str(&format!("first error: {error}\n"));
+    }
     let (add50, add99) = (vm50 - direct50, vm99 - direct99);
     text.push_str(&format!(
         "{:<12}{:>10}{add50:>10.3}{add99:>10.3}\n",
