Give the overhead run eight targets of each kind

At half load the vm was idle for half of the time while requests waited for seconds: one target has room for fewer requests than a vm carries, so they waited in the scheduler, not in the proxy. Eight loopback addresses of the one echo process give the room.

--- a/crates/standin/src/overhead.rs
+++ b/crates/standin/src/overhead.rs
@@ -20,6 +20,9 @@
 /// Connections of the closed loop; enough to keep one worker busy.
 const CONNECTIONS: usize = 32;
 const ECHO_PATH: &str = "/echo/stock";
+/// Targets of each kind, under as many loopback addresses of the one echo process. A single target
+/// has room for fewer requests than a vm can carry, and the rest would wait in the scheduler.
+const TARGETS: u8 = 8;
 const MODEL: &str = "echo";
 /// A ready vm reads the target's first load report within half a second.
 const WARM_UP: Duration = Duration::from_secs(2);
@@ -91,17 +94,25 @@
         )
     }
 
+    fn group(&self, name: &str, kind: &str) -> String {
+        let mut text = format!("  - name: {name}\n    kind: {kind}\n    targets:\n");
+        for i in 1..=TARGETS {
+            let address = SocketAddr::from(([127, 0, 0, i], self.echo.port()));
+            text.push_str(&format!(
+                "      - {{name: {name}-{i}, address: \"{address}\", zone: brest}}\n"
+            ));
+        }
+        text
+    }
+
     fn settings(&self) -> Vec<(String, String)> {
         let fleet = format!(
             "zones: [brest]\nroutes:\n  - {{name: echo, kind: service, path_prefix: /echo, \
              group: echo}}\n  - {{name: chat, kind: engine, path_prefix: {}, models: [{MODEL}], \
-             group: engines}}\ngroups:\n  - name: echo\n    kind: service\n    targets:\n      \
-             - {{name: echo-1, address: \"{}\", zone: brest}}\n  - name: engines\n    \
-             kind: engine\n    targets:\n      \
-             - {{name: engine-1, address: \"{}\", zone: brest}}\n",
+             group: engines}}\ngroups:\n{}{}",
             paths::CHAT,
-            self.echo,
-            self.echo
+            self.group("echo", "service"),
+            self.group("engines", "engine")
         );
         let team = format!(
             "workspaces:\n  - name: kits-north\n    keys:\n      \
@@ -178,7 +189,8 @@
     fs::write(&vms, list).map_err(|e| e.to_string())?;
     let config = directory.join("vm-1.yaml");
     fs::write(&config, layout.process_settings()).map_err(|e| e.to_string())?;
-    let (platform, echo) = (layout.platform.to_string(), layout.echo.to_string());
+    let platform = layout.platform.to_string();
+    let echo = SocketAddr::from((Ipv4Addr::UNSPECIFIED, layout.echo.port())).to_string();
     let vms = vms.to_string_lossy();
     processes.start(&["platform", "--address", &platform, "--vms", &vms])?;
     processes.start(&["echo", "--address", &echo])?;
