--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -19,7 +19,7 @@
     jujubebeam-standin load [--address URL|ask] [--entry URL,URL] [--key KEY] [--rate N]
                             [--concurrency N] [--seconds N] [--requests N]
                             [--mix chat|checkout|mixed] [--seed N] [--output table|json]
-    jujubebeam-standin overhead [--seed N] [--seconds N]
+    jujubebeam-standin overhead [--seed N] [--seconds N] [--rate N]
     jujubebeam-standin vm ARGUMENTS OF jujubebeam
     jujubebeam-standin experiment NAME [--seeds A..B] [--policy all|NAME] [--output json|table]
                                   [--plot DIR] [--short]
--- a/crates/standin/src/overhead.rs
+++ b/crates/standin/src/overhead.rs
@@ -27,7 +27,8 @@
 /// A ready vm reads the target's first load report within half a second.
 const WARM_UP: Duration = Duration::from_secs(2);
 
-/// Runs `overhead --seed N [--seconds N]` and prints a table.
+/// Runs `overhead --seed N [--seconds N] [--rate N]` and prints a table. Without a rate, half of the
+/// measured capacity is offered.
 pub(crate) fn run(mut args: Arguments) -> Result<(), String> {
     let option = |args: &mut Arguments, name| {
         let value: Result<Option<u64>, _> = args.opt_value_from_str(name);
@@ -35,8 +36,9 @@
     };
     let seed = option(&mut args, "--seed")?.unwrap_or(1);
     let seconds = option(&mut args, "--seconds")?.unwrap_or(5);
+    let rate = option(&mut args, "--rate")?.map(|rate| rate as f64);
     let mut processes = Processes::default();
-    let result = measure(&mut processes, seed, Duration::from_secs(seconds));
+    let result = measure(&mut processes, seed, rate, Duration::from_secs(seconds));
     processes.stop();
     print!("{}", result?);
     Ok(())
@@ -127,7 +129,12 @@
     }
 }
 
-fn measure(processes: &mut Processes, seed: u64, time: Duration) -> Result<String, String> {
+fn measure(
+    processes: &mut Processes,
+    seed: u64,
+    rate: Option<f64>,
+    time: Duration,
+) -> Result<String, String> {
     let layout = Layout::new()?;
     let vm_process = start(processes, &layout)?;
     bring_up(&layout)?;
@@ -144,7 +151,7 @@
             body: body.clone(),
         };
         let both = [call(layout.echo), call(layout.caller)];
-        text.push_str(&measure_kind(kind, both, vm_process, seed, time)?);
+        text.push_str(&measure_kind(kind, both, vm_process, seed, rate, time)?);
     }
     Ok(text)
 }
@@ -155,13 +162,14 @@
     [direct, vm]: [Call; 2],
     vm_process: u32,
     seed: u64,
+    rate: Option<f64>,
     time: Duration,
 ) -> Result<String, String> {
     drive::closed(&vm, CONNECTIONS, WARM_UP);
     let cpu_before = cpu_seconds(vm_process)?;
     let full = drive::closed(&vm, CONNECTIONS, time);
     let cpu = cpu_seconds(vm_process)? - cpu_before;
-    let rate = full.per_s() / 2.0;
+    let rate = rate.unwrap_or(full.per_s() / 2.0);
     let cpu_before = cpu_seconds(vm_process)?;
     let wait_before = cpu_wait_seconds(vm_process)?;
     let measured = drive::open(&Drive {
@@ -178,7 +186,7 @@
     let waited = (cpu_wait_seconds(vm_process)? - wait_before) / elapsed;
     let table = table(&full, cpu, rate, by_vm, by_itself);
     Ok(format!(
-        "{kind}: {table}at half load the vm used {used:.2} cores and waited for {waited:.2}\n"
+        "{kind}: {table}meanwhile the vm used {used:.2} cores and waited for {waited:.2}\n"
     ))
 }
 
@@ -251,7 +259,7 @@
         full.times.count() as f64 / cpu.max(0.01),
         full.errors
     );
-    text.push_str(&format!("half load, {rate:.0} requests/s offered:\n"));
+    text.push_str(&format!("{rate:.0} requests/s offered to each path:\n"));
     text.push_str(&format!(
         "{:<12}{:>10}{:>10}{:>10}{:>8}\n",
         "path", "count", "p50 ms", "p99 ms", "errors"
