--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -19,7 +19,7 @@
     jujubebeam-standin load [--address URL|ask] [--entry URL,URL] [--key KEY] [--rate N]
                             [--concurrency N] [--seconds N] [--requests N]
                             [--mix chat|checkout|mixed] [--seed N] [--output table|json]
-    jujubebeam-standin overhead [--seed N] [--seconds N]
+    jujubebeam-standin overhead [--seed N] [--seconds N] [--rate N]
     jujubebeam-standin vm ARGUMENTS OF jujubebeam
     jujubebeam-standin capacity [--role settings|membership|scheduler|limits|targets|usage|leases]
                                 [--output table|json]
--- a/crates/standin/src/overhead.rs
+++ b/crates/standin/src/overhead.rs
@@ -8,21 +8,27 @@
 
 use jujubebeam_core::VmId;
 use jujubebeam_core::settings::KeyHash;
+use jujubebeam_engine::paths;
 use jujubebeam_vmlist::{ListedState, ListedVm, VmList};
 use pico_args::Arguments;
 
 use crate::up::example::KEY;
 use crate::up::processes::Processes;
 use crate::up::{wait_until, write_settings};
-use drive::{Drive, Measured};
+use drive::{Call, Drive, Measured};
 
 /// Connections of the closed loop; enough to keep one worker busy.
 const CONNECTIONS: usize = 32;
 const ECHO_PATH: &str = "/echo/stock";
+/// Targets of each kind, under as many loopback addresses of the one echo process. A single target
+/// has room for fewer requests than a vm can carry, and the rest would wait in the scheduler.
+const TARGETS: u8 = 8;
+const MODEL: &str = "echo";
 /// A ready vm reads the target's first load report within half a second.
 const WARM_UP: Duration = Duration::from_secs(2);
 
-/// Runs `overhead --seed N [--seconds N]` and prints a table.
+/// Runs `overhead --seed N [--seconds N] [--rate N]` and prints a table. Without a rate, half of the
+/// measured capacity is offered.
 pub(crate) fn run(mut args: Arguments) -> Result<(), String> {
     let option = |args: &mut Arguments, name| {
         let value: Result<Option<u64>, _> = args.opt_value_from_str(name);
@@ -30,8 +36,9 @@
     };
     let seed = option(&mut args, "--seed")?.unwrap_or(1);
     let seconds = option(&mut args, "--seconds")?.unwrap_or(5);
+    let rate = option(&mut args, "--rate")?.map(|rate| rate as f64);
     let mut processes = Processes::default();
-    let result = measure(&mut processes, seed, Duration::from_secs(seconds));
+    let result = measure(&mut processes, seed, rate, Duration::from_secs(seconds));
     processes.stop();
     print!("{}", result?);
     Ok(())
@@ -89,12 +96,25 @@
         )
     }
 
+    fn group(&self, name: &str, kind: &str) -> String {
+        let mut text = format!("  - name: {name}\n    kind: {kind}\n    targets:\n");
+        for i in 1..=TARGETS {
+            let address = SocketAddr::from(([127, 0, 0, i], self.echo.port()));
+            text.push_str(&format!(
+                "      - {{name: {name}-{i}, address: \"{address}\", zone: brest}}\n"
+            ));
+        }
+        text
+    }
+
     fn settings(&self) -> Vec<(String, String)> {
         let fleet = format!(
             "zones: [brest]\nroutes:\n  - {{name: echo, kind: service, path_prefix: /echo, \
-             group: echo}}\ngroups:\n  - name: echo\n    kind: service\n    targets:\n      \
-             - {{name: echo-1, address: \"{}\", zone: brest}}\n",
-            self.echo
+             group: echo}}\n  - {{name: chat, kind: engine, path_prefix: {}, models: [{MODEL}], \
+             group: engines}}\ngroups:\n{}{}",
+            paths::CHAT,
+            self.group("echo", "service"),
+            self.group("engines", "engine")
         );
         let team = format!(
             "workspaces:\n  - name: kits-north\n    keys:\n      \
@@ -109,28 +129,65 @@
     }
 }
 
-fn measure(processes: &mut Processes, seed: u64, time: Duration) -> Result<String, String> {
+fn measure(
+    processes: &mut Processes,
+    seed: u64,
+    rate: Option<f64>,
+    time: Duration,
+) -> Result<String, String> {
     let layout = Layout::new()?;
     let vm_process = start(processes, &layout)?;
     bring_up(&layout)?;
-    let vm = format!("http://{}{ECHO_PATH}", layout.caller);
-    let direct = format!("http://{}{ECHO_PATH}", layout.echo);
+    let chat = format!(
+        r#"{{"model":"{MODEL}","max_tokens":1,"messages":[{{"role":"user","content":"fit?"}}]}}"#
+    );
+    let mut text = String::new();
+    for (kind, path, body) in [
+        ("plain service", ECHO_PATH, None),
+        ("short chat", paths::CHAT, Some(chat)),
+    ] {
+        let call = |address: SocketAddr| Call {
+            url: format!("http://{address}{path}"),
+            body: body.clone(),
+        };
+        let both = [call(layout.echo), call(layout.caller)];
+        text.push_str(&measure_kind(kind, both, vm_process, seed, rate, time)?);
+    }
+    Ok(text)
+}
+
+/// Measures the capacity of the vm, and then times at half of it by both paths at once.
+fn measure_kind(
+    kind: &str,
+    [direct, vm]: [Call; 2],
+    vm_process: u32,
+    seed: u64,
+    rate: Option<f64>,
+    time: Duration,
+) -> Result<String, String> {
     drive::closed(&vm, CONNECTIONS, WARM_UP);
     let cpu_before = cpu_seconds(vm_process)?;
     let full = drive::closed(&vm, CONNECTIONS, time);
     let cpu = cpu_seconds(vm_process)? - cpu_before;
-    let rate = full.per_s() / 2.0;
-    let paced = |url: &str, seed| {
-        drive::open(&Drive {
-            url: url.to_owned(),
-            rate,
-            time,
-            seed,
-        })
+    let rate = rate.unwrap_or(full.per_s() / 2.0);
+    let cpu_before = cpu_seconds(vm_process)?;
+    let wait_before = cpu_wait_seconds(vm_process)?;
+    let measured = drive::open(&Drive {
+        paths: vec![direct, vm],
+        rate,
+        time,
+        seed,
+    });
+    let [by_itself, by_vm] = measured.as_slice() else {
+        return Err("a path was not measured".into());
     };
-    let by_vm = paced(&vm, seed);
-    let by_itself = paced(&direct, seed);
-    Ok(table(&full, cpu, rate, &by_vm, &by_itself))
+    let elapsed = by_vm.elapsed.as_secs_f64();
+    let used = (cpu_seconds(vm_process)? - cpu_before) / elapsed;
+    let waited = (cpu_wait_seconds(vm_process)? - wait_before) / elapsed;
+    let table = table(&full, cpu, rate, by_vm, by_itself);
+    Ok(format!(
+        "{kind}: {table}meanwhile the vm used {used:.2} cores and waited for {waited:.2}\n"
+    ))
 }
 
 fn start(processes: &mut Processes, layout: &Layout) -> Result<u32, String> {
@@ -140,7 +197,8 @@
     fs::write(&vms, list).map_err(|e| e.to_string())?;
     let config = directory.join("vm-1.yaml");
     fs::write(&config, layout.process_settings()).map_err(|e| e.to_string())?;
-    let (platform, echo) = (layout.platform.to_string(), layout.echo.to_string());
+    let platform = layout.platform.to_string();
+    let echo = SocketAddr::from((Ipv4Addr::UNSPECIFIED, layout.echo.port())).to_string();
     let vms = vms.to_string_lossy();
     processes.start(&["platform", "--address", &platform, "--vms", &vms])?;
     processes.start(&["echo", "--address", &echo])?;
@@ -174,6 +232,22 @@
     Ok(ticks / TICKS_PER_S)
 }
 
+/// Time for which the threads of a process were ready to run but had no core. On a machine that
+/// others use, it tells how much of the vm's time is not its own.
+fn cpu_wait_seconds(process: u32) -> Result<f64, String> {
+    let path = format!("/proc/{process}/task");
+    let threads = fs::read_dir(&path).map_err(|e| format!("{path}: {e}"))?;
+    let mut waited_ns = 0;
+    for thread in threads.flatten() {
+        let text = fs::read_to_string(thread.path().join("schedstat")).unwrap_or_default();
+        let field = text.split_whitespace().nth(1);
+        waited_ns += field
+            .and_then(|f| f.parse::<u64>().ok())
+            .unwrap_or_default();
+    }
+    Ok(Duration::from_nanos(waited_ns).as_secs_f64())
+}
+
 fn table(full: &Measured, cpu: f64, rate: f64, vm: &Measured, direct: &Measured) -> String {
     let quantiles = |m: &Measured| (m.times.quantile_ms(0.5), m.times.quantile_ms(0.99));
     let ((vm50, vm99), (direct50, direct99)) = (quantiles(vm), quantiles(direct));
@@ -185,7 +259,7 @@
         full.times.count() as f64 / cpu.max(0.01),
         full.errors
     );
-    text.push_str(&format!("half load, {rate:.0} requests/s offered:\n"));
+    text.push_str(&format!("{rate:.0} requests/s offered to each path:\n"));
     text.push_str(&format!(
         "{:<12}{:>10}{:>10}{:>10}{:>8}\n",
         "path", "count", "p50 ms", "p99 ms", "errors"
@@ -197,6 +271,12 @@
             "{name:<12}{count:>10}{p50:>10.3}{p99:>10.3}{errors:>8}\n"
         ));
     }
+    for error in [full, vm, direct]
+        .iter()
+        .filter_map(|m| m.first_error.as_ref())
+    {
+        text.push_str(&format!("first error: {error}\n"));
+    }
     let (add50, add99) = (vm50 - direct50, vm99 - direct99);
     text.push_str(&format!(
         "{:<12}{:>10}{add50:>10.3}{add99:>10.3}\n",
