Find a majority faster when a large fleet loses the store

Proofs end 1.1 s after vms begin to ask around, and three rounds of two answers do not name a majority of 360 vms by then. A vm that lacks a majority now asks five vms every 100 ms until its proof is 5 s old, then two every 300 ms as before. Ruled out: reports of heard vms in all answers, which cost traffic without an outage.

--- a/crates/core/src/settings/replica/config.rs
+++ b/crates/core/src/settings/replica/config.rs
@@ -36,6 +36,8 @@
     /// Age of the freshness proof from which a vm does not rely on its parent. Watchers read once
     /// a second, so a proof is about 1.1 s old just before the next one arrives.
     pub hurry_after: Duration,
+    /// Random vms that are asked at once while a majority is sought.
+    pub burst_asks: usize,
     /// Time after which an unanswered question to the parent is asked again.
     pub wait_limit: Duration,
     /// Time between two questions to a random vm beside the parent.
@@ -77,6 +79,8 @@
     pub anti_entropy: bool,
     /// Ask nobody but the parent in the tree.
     pub tree_fallback: bool,
+    /// Look for a majority at the usual pace in a large fleet.
+    pub tree_burst: bool,
     /// Use the tree in a fleet of any size instead of asking a watcher and a random vm.
     pub pairs: bool,
 }
@@ -96,6 +100,7 @@
             tree_above: 12,
             tree_children: 4,
             hurry_after: Duration::from_millis(1400),
+            burst_asks: 4,
             wait_limit: Duration::from_secs(2),
             random_interval: Duration::from_secs(5),
             stale_limit: Duration::from_millis(2500),
--- a/crates/core/src/settings/replica/exchange.rs
+++ b/crates/core/src/settings/replica/exchange.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    pub(crate) fn pick(&mut self, vms: Vec<VmId>) -> Option<VmId> {
+    fn pick(&mut self, vms: Vec<VmId>) -> Option<VmId> {
         if vms.is_empty() {
             return None;
         }
--- a/crates/core/src/settings/replica/tree.rs
+++ b/crates/core/src/settings/replica/tree.rs
@@ -9,7 +9,10 @@
 
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
+
 use super::exchange::Question;
+use super::freshness::majority;
 use super::{Command, Replica, rank};
 use crate::VmId;
 
@@ -55,29 +58,46 @@
                 self.ask_parent(parent, now, out);
             }
         }
-        let hurries = self.age(now).is_none_or(|a| a > self.config.hurry_after);
+        let age = self.age(now);
+        let hurries = age.is_none_or(|a| a > self.config.hurry_after);
         let due = now >= self.tree.next_random;
         if self.config.omit.tree_fallback || !(hurries || due) {
             return;
         }
         self.tree.next_random = now + self.config.random_interval;
+        let mut count = 1;
+        // When the store is lost, all vms must hear of a majority in the second that is left. Each
+        // round multiplies the vms heard of, and rounds of one or two answers are too few at 360
+        // vms. A minority that cannot succeed goes back to the usual pace.
+        if age.is_some_and(|a| a > self.config.hurry_after && a < self.config.stale_limit * 2)
+            && !self.hears_majority(now)
+            && !self.config.omit.tree_burst
+        {
+            self.next_ask = now + self.config.ask_interval / 3;
+            count = self.config.burst_asks;
+        }
         let own = self.config.vm;
         let others = self.live.iter().copied().filter(|vm| *vm != own);
-        let other = self.pick(others.collect());
-        // Inner vms are many enough to share the questions of a whole fleet that lost its
-        // watchers or the store.
-        let inner = self.live.len() / self.config.tree_children.max(1);
-        let inner = self.ranked.iter().take(inner.max(self.config.watchers));
-        let inner = inner.copied().filter(|vm| hurries && *vm != own);
-        let inner = self.pick(inner.collect());
-        for to in inner
-            .into_iter()
-            .chain(other.filter(|vm| Some(*vm) != inner))
-        {
+        let mut asked = others.choose_multiple(&mut self.rng, count);
+        if hurries {
+            // Inner vms are many enough to share the questions of a whole fleet that lost its
+            // watchers or the store.
+            let inner = self.live.len() / self.config.tree_children.max(1);
+            let inner = self.ranked.iter().take(inner.max(self.config.watchers));
+            let inner = inner.copied().filter(|vm| *vm != own);
+            asked.extend(inner.choose(&mut self.rng));
+            asked.sort_unstable();
+            asked.dedup();
+        }
+        for to in asked {
             self.ask(to, self.set.cursor, false, now, out);
         }
     }
 
+    fn hears_majority(&self, now: Duration) -> bool {
+        self.fresh.heard(now, &self.config).len() >= majority(self.listed.len())
+    }
+
     fn ask_parent(&mut self, parent: VmId, now: Duration, out: &mut Vec<Command>) {
         self.tree.asked = Some((parent, now));
         self.ask(parent, self.set.cursor, true, now, out);
--- a/crates/core/tests/settings_tree.rs
+++ b/crates/core/tests/settings_tree.rs
@@ -16,6 +16,7 @@
     witness: false,
     anti_entropy: false,
     tree_fallback: false,
+    tree_burst: false,
     pairs: true,
 };
 
