--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -63,6 +63,10 @@
                 "a change is in force on all of {} vms after {:?}",
                 size.vms, measured.in_force
             ));
+            notes.push(format!(
+                "of {} vms, {} refuse while a tenth is silent, {} while the store is down",
+                size.vms, measured.refusing_in_loss, measured.refusing_in_outage
+            ));
         }
         if wanted("membership") {
             rows.push(membership::measure(size.vms, size.zones, allowance));
@@ -83,6 +87,14 @@
             rows.push(authority::measure(size, allowance));
         }
     }
+    if wanted("usage") {
+        let held = usage::lock_times();
+        notes.push(format!(
+            "at 10,000 requests/s one usage record holds the lock for {:?}, collecting a window of \
+             600,000 records for {:?}",
+            held.record, held.collect
+        ));
+    }
     rows.sort_by(|a, b| (&a.role, a.vms).cmp(&(&b.role, b.vms)));
     let slopes = row::slopes(&rows);
     if output.as_deref() == Some("json") {
--- a/crates/standin/src/capacity/settings.rs
+++ b/crates/standin/src/capacity/settings.rs
@@ -5,7 +5,7 @@
 
 use jujubebeam_core::peer::PeerMessage;
 use jujubebeam_core::settings::replica::{
-    ChangeOutcome, ChangeRequest, Command, Event, Message, Replica, ReplicaConfig,
+    ChangeRequest, Command, Event, Message, Replica, ReplicaConfig,
 };
 use jujubebeam_core::store::{CallToken, Entry, Expected, StoreOp, StoreReply};
 use jujubebeam_core::{Machine, Revision, VmId};
@@ -38,8 +38,12 @@
     replicas: Vec<Replica>,
     store: Store,
     watches: Vec<usize>,
-    outcome: Option<ChangeOutcome>,
     resident_bytes: u64,
+    /// Vms that neither send nor receive while the others still take them for live.
+    silent: Vec<bool>,
+    store_down: bool,
+    /// Most vms that refused keyed requests at the same time, silent ones not counted.
+    refusing: usize,
 }
 
 /// Result of one run.
@@ -47,6 +51,10 @@
     pub(crate) rows: Vec<Row>,
     /// Time from a change until the last vm has it in force.
     pub(crate) in_force: Duration,
+    /// Most vms that refused at the same time while a tenth of the vms was silent.
+    pub(crate) refusing_in_loss: usize,
+    /// The same while the store was down.
+    pub(crate) refusing_in_outage: usize,
 }
 
 /// Measures a fleet without changes, then one change.
@@ -61,7 +69,21 @@
     let in_force = fleet.change();
     let mut rows = rows;
     rows.push(fleet.change_row(workspaces));
-    Measured { rows, in_force }
+    for vm in (0..vms).step_by(10) {
+        fleet.silent[vm] = true;
+    }
+    let refusing_in_loss = fleet.disturb("settings, a tenth silent", &mut rows);
+    fleet.silent.fill(false);
+    let end = fleet.world.now + WARM_UP;
+    fleet.run_until(end, |_| false);
+    fleet.store_down = true;
+    let refusing_in_outage = fleet.disturb("settings, store outage", &mut rows);
+    Measured {
+        rows,
+        in_force,
+        refusing_in_loss,
+        refusing_in_outage,
+    }
 }
 
 impl Fleet {
@@ -84,8 +106,10 @@
             replicas: replicas.collect(),
             store,
             watches: Vec::new(),
-            outcome: None,
             resident_bytes: before,
+            silent: vec![false; vms],
+            store_down: false,
+            refusing: 0,
         }
     }
 
@@ -99,19 +123,42 @@
         }
         while self.world.now < end && !done(self) {
             for (vm, delivery) in self.world.advance() {
+                if self.silent[vm] {
+                    continue;
+                }
                 match delivery {
                     Delivery::Event(event, opens) => self.feed(vm, event, opens),
                     Delivery::Call(token, op) => self.call(vm, token, op),
                 }
             }
             for vm in 0..self.replicas.len() {
-                if self.world.ticks(vm) {
+                if self.world.ticks(vm) && !self.silent[vm] {
                     self.feed(vm, Event::Tick, false);
                 }
             }
+            self.count_refusing();
         }
     }
 
+    /// Runs on with a fault and returns how many vms refused at the same time.
+    fn disturb(&mut self, role: &str, rows: &mut Vec<Row>) -> usize {
+        self.world.reset();
+        self.refusing = 0;
+        let end = self.world.now + MEASURED;
+        self.run_until(end, |_| false);
+        let seconds = MEASURED.as_secs_f64();
+        let traffic = &self.world.vms;
+        rows.push(Row::new(role, traffic.len(), traffic, seconds));
+        self.refusing
+    }
+
+    fn count_refusing(&mut self) {
+        let now = self.world.now;
+        let replicas = self.replicas.iter().zip(&self.silent);
+        let refusing = replicas.filter(|(r, silent)| !**silent && !r.permit(now).may_start(now));
+        self.refusing = self.refusing.max(refusing.count());
+    }
+
     fn feed(&mut self, vm: usize, event: Event, opens: bool) {
         let mut asked = match &event {
             Event::Peer { from, .. } if opens => Some(*from),
@@ -139,8 +186,7 @@
             Command::StartWatch { .. } => self.watches.push(vm),
             Command::StopWatch => self.watches.retain(|w| *w != vm),
             Command::Send { to, message } => self.send(vm, answers, to, message),
-            Command::ChangeDone { outcome, .. } => self.outcome = Some(outcome),
-            Command::Apply(_) | Command::StatusDone { .. } => {}
+            Command::Apply(_) | Command::ChangeDone { .. } | Command::StatusDone { .. } => {}
         }
     }
 
@@ -159,6 +205,9 @@
     }
 
     fn call(&mut self, vm: usize, token: CallToken, op: StoreOp) {
+        if self.store_down {
+            return;
+        }
         let before = self.store.revision;
         let reply = self.store.perform(op);
         if self.store.revision > before {
@@ -229,7 +278,7 @@
             traffic,
             seconds,
         );
-        row.scale = format!("{workspaces} workspaces, {:?}", self.outcome.is_some());
+        row.scale = format!("{workspaces} workspaces");
         row
     }
 }
--- a/crates/standin/src/capacity/usage.rs
+++ b/crates/standin/src/capacity/usage.rs
@@ -126,3 +126,63 @@
         self.world.later(10, to, MeterEvent::Message(from, message));
     }
 }
+
+/// How long the meter's lock is held.
+pub(crate) struct Held {
+    /// Mean time of one record, with the copies that it causes.
+    pub(crate) record: Duration,
+    /// Time of answering the collection of one window.
+    pub(crate) collect: Duration,
+}
+
+/// Feeds one meter with 10,000 records a second for one window, and collects the window.
+pub(crate) fn lock_times() -> Held {
+    const RECORDS_PER_S: u64 = 10_000;
+    const SECONDS: u64 = 60;
+    let own = VmId(0);
+    let holder = Holder {
+        vm: own,
+        incarnation: Incarnation(1),
+    };
+    let mut meter = UsageMeter::new(holder, "zone-0".into(), UsageConfig::default());
+    let mut out = Vec::new();
+    let peers = (0..3).map(|vm| UsagePeer {
+        vm: VmId(vm),
+        zone: format!("zone-{vm}"),
+    });
+    meter.step(MeterEvent::Peers(peers.collect()), Duration::ZERO, &mut out);
+    let mut busy = Duration::ZERO;
+    let records = RECORDS_PER_S * SECONDS;
+    let mut kept = Vec::new();
+    for number in 0..records {
+        let now = Duration::from_micros(number * 1_000_000 / RECORDS_PER_S);
+        let record = MeterEvent::Record {
+            ticket: number,
+            workspace: WorkspaceId(number.wrapping_mul(7919) % 10_000),
+            counts: Counts::default(),
+        };
+        let start = std::time::Instant::now();
+        meter.step(record, now, &mut out);
+        for (to, message) in kept.drain(..) {
+            meter.step(MeterEvent::Message(to, message), now, &mut out);
+        }
+        busy += start.elapsed();
+        for command in out.drain(..) {
+            if let MeterCommand::Send(to, UsageMessage::Copy { from, records, .. }) = command {
+                let end = from + records.len() as u64;
+                kept.push((to, UsageMessage::Kept { holder, end }));
+            }
+        }
+    }
+    let collect = UsageMessage::Collect {
+        window: u64::MAX,
+        included: Vec::new(),
+    };
+    let start = std::time::Instant::now();
+    let now = Duration::from_secs(SECONDS);
+    meter.step(MeterEvent::Message(VmId(1), collect), now, &mut out);
+    Held {
+        record: busy / records as u32,
+        collect: start.elapsed(),
+    }
+}
