--- a/crates/jujubebeam/src/shared.rs
+++ b/crates/jujubebeam/src/shared.rs
@@ -67,7 +67,7 @@
             vm: config.vm,
             incarnation,
         };
-        let (usage_meter, window_closer) = usage::machines(me, &config.zone);
+        let (usage_meter, window_closer) = usage::machines(me, &config);
         Self {
             metrics: Metrics::default(),
             settings: SettingsState::new(&config, incarnation),
--- a/crates/standin/src/capacity/dispatch.rs
+++ b/crates/standin/src/capacity/dispatch.rs
@@ -194,6 +194,7 @@
         weight: 1,
         prompt_tokens: PROMPT_TOKENS,
         max_tokens: None,
+        delivered_tokens: 0,
         known_output_tokens: Some(OUTPUT_TOKENS),
         prefix: Default::default(),
         repeatable: true,
