Decide planned changes by a handshake between all vms

Cause: the planner drains by digests alone, so an order could meet work of a vm that restarted, paused or never heard of the drain. The new machine core::change marks a target at all vms, waits until each has told zero requests in flight, lets all hold the mark without a time limit, and only then asks for the order. New vms ask for marks before they send work.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! one process. See `docs/design.md`, section 4.1.
 
 pub mod authority;
+pub mod change;
 mod clock;
 pub mod fleet;
 mod ids;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::RouteId;
+use crate::change::ChangeMessage;
 use crate::limits::LimitDigest;
 use crate::membership;
 use crate::once::OnceMessage;
@@ -38,4 +39,6 @@
     Limits(LimitDigest),
     /// Load reports and cache events that the sender read from targets.
     Targets(Vec<TargetNews>),
+    /// Planned changes of targets.
+    Change(ChangeMessage),
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod change_history;
+pub(crate) mod change_world;
 pub(crate) mod network;
 pub(crate) mod order_world;
 pub(crate) mod receivers;
