--- a/crates/jujubebeam/src/caller/chat/attempts.rs
+++ b/crates/jujubebeam/src/caller/chat/attempts.rs
@@ -105,10 +105,11 @@
         let Some(target) = self.permit.as_ref().and_then(Permit::moves_to) else {
             return false;
         };
-        if self.delivered_other || self.target(target).is_none() {
-            if let Some(permit) = &mut self.permit {
-                permit.stayed();
-            }
+        let movable = !self.delivered_other && self.target(target).is_some();
+        if let Some(permit) = &mut self.permit
+            && !(movable && permit.reserve(target))
+        {
+            permit.stayed();
             return true;
         }
         self.feed(RequestEvent::MoveTo { target });
--- a/crates/jujubebeam/src/dispatch.rs
+++ b/crates/jujubebeam/src/dispatch.rs
@@ -8,7 +8,7 @@
 use jujubebeam_caller::{CallerError, ErrorKind};
 use jujubebeam_core::limits::LimitRefusal;
 use jujubebeam_core::scheduler::{Arrival, RefusalKind, SchedulerEvent};
-use jujubebeam_core::settings::document::{Priority, RouteDocument};
+use jujubebeam_core::settings::document::{Priority, RouteDocument, TargetKind};
 use jujubebeam_core::settings::{RouteSpec, Snapshot, TargetSpec, WorkspaceSpec};
 use jujubebeam_core::spread::{Spread, SpreadConfig};
 use jujubebeam_core::{Clock, RequestId, TargetId, WorkspaceId};
@@ -19,6 +19,7 @@
 use dispatcher::{RouteScheduler, Verdict};
 
 use crate::context::Context;
+use crate::control::fleet;
 use crate::part::TICK_INTERVAL;
 use crate::peers;
 use crate::shared::Shared;
@@ -78,12 +79,17 @@
     /// dropped.
     id: RequestId,
     waits: bool,
+    /// Targets where the attempt counts as in flight: its own and the one that it moves to.
+    entered: SmallVec<[TargetId; 2]>,
     /// Prompt and output tokens of a whole answer.
     finished: Option<(u64, u64)>,
     /// Output tokens that the caller got before it left.
     left_with: u64,
 }
 
+/// Targets that are tried for one request while planned changes begin.
+const PLACE_ATTEMPTS: u32 = 3;
+
 impl Permit {
     fn new(target: TargetSpec, attempt: Attempt) -> Self {
         Self {
@@ -94,6 +100,35 @@
         }
     }
 
+    /// Counts the attempt at a target, unless a planned change keeps new work away.
+    fn enter(&mut self, target: TargetId) -> bool {
+        if self.attempt.entered.contains(&target) {
+            return true;
+        }
+        let entered = self.attempt.shared.fleet.enter(target);
+        if entered {
+            self.attempt.entered.push(target);
+        }
+        entered
+    }
+
+    /// Ends the count at all targets but the present one.
+    fn leave_others(&mut self) {
+        let here = self.target.id;
+        let shared = &self.attempt.shared;
+        self.attempt.entered.retain(|target| {
+            if *target != here {
+                shared.fleet.leave(*target);
+            }
+            *target == here
+        });
+    }
+
+    /// Counts the attempt at the target of its move. Returns false if the target takes no new work.
+    pub(crate) fn reserve(&mut self, target: TargetId) -> bool {
+        self.enter(target)
+    }
+
     /// Reports the first token of the attempt, with which a split request leaves its prefill
     /// engine in the books. Later calls have no effect and return false.
     pub(crate) fn first_token(&mut self) -> bool {
@@ -131,12 +166,14 @@
     /// Continues at the target of a move.
     pub(crate) fn moved(&mut self, target: TargetSpec) {
         self.target = target;
+        self.leave_others();
     }
 
     /// Reports that the stream cannot move and ends where it is.
     pub(crate) fn stayed(&mut self) {
         let (request, target) = (self.attempt.id, self.target.id);
         self.attempt.route.set_move(request, None);
+        self.leave_others();
         self.attempt
             .feed(SchedulerEvent::Stayed { request, target });
     }
@@ -171,6 +208,9 @@
     fn drop(&mut self) {
         let request = self.id;
         self.route.forget(request);
+        for target in &self.entered {
+            self.shared.fleet.leave(*target);
+        }
         if self.waits {
             self.route.give_up(request);
         }
@@ -206,6 +246,7 @@
         });
         loop {
             let messages = context.shared.dispatcher.tick(&context.shared);
+            context.shared.fleet.hear_own(&context.shared, &messages);
             let others = peers::others(&context);
             let now = context.shared.clock.now();
             for (to, messages) in spread.envelopes(messages, &others, now) {
@@ -224,6 +265,27 @@
     context: &Context,
     snapshot: &Snapshot,
     ask: &Ask<'_>,
+) -> Result<Permit, CallerError> {
+    if ask.route.settings.kind == TargetKind::Service {
+        return place(context, snapshot, ask).await;
+    }
+    fleet::wait_for_marks(context, ask.deadline).await;
+    let mut ask = ask.clone();
+    for _ in 0..PLACE_ATTEMPTS {
+        let mut permit = place(context, snapshot, &ask).await?;
+        if permit.enter(permit.target.id) {
+            return Ok(permit);
+        }
+        // The target was marked for a planned change after the scheduler had chosen it.
+        ask.excluded.push(permit.target.id);
+    }
+    Err(no_target(1))
+}
+
+async fn place(
+    context: &Context,
+    snapshot: &Snapshot,
+    ask: &Ask<'_>,
 ) -> Result<Permit, CallerError> {
     let shared = &context.shared;
     check_limits(shared, ask)?;
@@ -265,6 +327,7 @@
         workspace: ask.workspace.map(|w| w.id),
         id,
         waits: true,
+        entered: SmallVec::new(),
         finished: None,
         left_with: 0,
     };
--- a/crates/jujubebeam/src/dispatch/dispatcher.rs
+++ b/crates/jujubebeam/src/dispatch/dispatcher.rs
@@ -344,6 +344,9 @@
 
 /// Hands a digest of a peer to the scheduler of its route.
 pub(crate) fn hear_digest(shared: &Shared, from: VmId, route: RouteId, digest: Digest) {
+    shared
+        .fleet
+        .hear_demand(from, route, digest.demand, shared.clock.now());
     if let Some(route) = shared.dispatcher.route(route) {
         route.feed(shared, SchedulerEvent::Peer { from, digest });
     }
