Let callers of the experiments give up after 10 s without a token

Cause: the baselines have no admission and callers waited for ever, so a baseline that fell behind never recovered and the comparison was unfair.

Callers of all policies now give up when the first token has not come within 10 s; the request is cancelled at its engine. Load and aims are unchanged.

--- a/crates/standin/src/experiment/engine.rs
+++ b/crates/standin/src/experiment/engine.rs
@@ -243,6 +243,12 @@
         }
     }
 
+    /// Drops a prompt that is not computed yet. A step that has begun spends its time on the next
+    /// prompts instead.
+    pub(crate) fn cancel(&mut self, request: usize) {
+        self.jobs.retain(|j| j.request != request);
+    }
+
     /// Drops all work and returns its requests.
     pub(crate) fn cut(&mut self) -> Vec<usize> {
         self.step = None;
--- a/crates/standin/src/experiment/figures.rs
+++ b/crates/standin/src/experiment/figures.rs
@@ -36,6 +36,8 @@
     pub(crate) start: Duration,
     /// Aim for the first token.
     pub(crate) first_token: Duration,
+    /// Time without a first token after which a caller gives up, whatever the policy.
+    pub(crate) patience: Duration,
     /// Aim for the mean time between tokens of an answer.
     pub(crate) token_interval: Duration,
 }
@@ -57,6 +59,7 @@
             engines: 10,
             start: Duration::from_secs(60),
             first_token: Duration::from_millis(1200),
+            patience: Duration::from_secs(10),
             token_interval: Duration::from_millis(56),
         }
     }
--- a/crates/standin/src/experiment/outcome.rs
+++ b/crates/standin/src/experiment/outcome.rs
@@ -30,6 +30,8 @@
     pub(crate) cut: u32,
     /// Refusals and failures that callers saw.
     pub(crate) refused: u32,
+    /// Requests whose caller left before the first token.
+    pub(crate) given_up: u32,
     /// Answers whose first token was late.
     pub(crate) late_first_token: u32,
     /// Answers in time at first, but with too long intervals.
@@ -72,6 +74,7 @@
         role_changes: world.role_changes,
         cut: world.cut,
         refused: world.refused,
+        given_up: world.given_up,
         late_first_token: world.requests.iter().filter(late).count() as u32,
         slow_tokens: world.requests.iter().filter(slow).count() as u32,
         spent_cents: world.spent_cents,
--- a/crates/standin/src/experiment/summary.rs
+++ b/crates/standin/src/experiment/summary.rs
@@ -25,6 +25,7 @@
     pub(crate) role_changes_median: f64,
     pub(crate) role_changes_worst: f64,
     pub(crate) refused_median: f64,
+    pub(crate) given_up_median: f64,
     pub(crate) late_median: f64,
     pub(crate) slow_median: f64,
     pub(crate) cut_worst: f64,
@@ -78,6 +79,7 @@
         role_changes_median: median(&changes),
         role_changes_worst: changes[changes.len() - 1],
         refused_median: median(&values(&|o| f64::from(o.refused))),
+        given_up_median: median(&values(&|o| f64::from(o.given_up))),
         late_median: median(&values(&|o| f64::from(o.late_first_token))),
         slow_median: median(&values(&|o| f64::from(o.slow_tokens))),
         cut_worst: values(&|o| f64::from(o.cut))
@@ -106,14 +108,14 @@
 pub(crate) fn table(summaries: &[Summary]) -> String {
     let mut text = String::from(
         "| policy | offered/s | goodput/s median | worst | of bound median | worst | \
-         worst-served median | worst | role changes median | most | refused | late | slow | cut | \
-         spent/least median | most | length error |\n|---|---|---|---|---|---|---|---|---|---|---|\
-         ---|---|---|---|---|---|\n",
+         worst-served median | worst | role changes median | most | refused | given up | late | slow | \
+         cut | spent/least median | most | length error |\n|---|---|---|---|---|---|---|---|---|---|\
+         ---|---|---|---|---|---|---|---|\n",
     );
     for s in summaries {
         text.push_str(&format!(
             "| {} | {:.2} | {:.2} | {:.2} | {:.3} | {:.3} | {:.3} | {:.3} | {} | {} | {} | {} | \
-             {} | {} | {} | {} | {:.2} |\n",
+             {} | {} | {} | {} | {} | {:.2} |\n",
             s.policy,
             s.offered_median,
             s.goodput_median,
@@ -125,6 +127,7 @@
             s.role_changes_median,
             s.role_changes_worst,
             s.refused_median,
+            s.given_up_median,
             s.late_median,
             s.slow_median,
             s.cut_worst,
--- a/crates/standin/src/experiment/traffic.rs
+++ b/crates/standin/src/experiment/traffic.rs
@@ -19,10 +19,29 @@
 
 impl World<'_> {
     pub(crate) fn arrive(&mut self, request: usize) {
-        self.requests[request].sent_at = self.now;
+        let progress = &mut self.requests[request];
+        progress.sent_at = self.now;
+        progress.is_open = true;
+        self.at(self.now + self.figures.patience, Happening::GiveUp(request));
         self.submit(request);
     }
 
+    /// The caller leaves without a first token, and the request is cancelled where it is.
+    pub(crate) fn give_up(&mut self, request: usize) {
+        let progress = &mut self.requests[request];
+        // A caller that sent the request again waits anew.
+        let waited = self.now.saturating_sub(progress.sent_at) >= self.figures.patience;
+        if !waited || !progress.is_open || progress.first_token_at.is_some() {
+            return;
+        }
+        progress.is_open = false;
+        self.given_up += 1;
+        if let Some(position) = progress.engine {
+            self.engines[position].cancel(request);
+        }
+        self.tell_vm(request, |request| SchedulerEvent::Cancel { request });
+    }
+
     fn vm_of(&self, request: usize) -> usize {
         self.requests[request].spec.vm % self.figures.vms
     }
@@ -168,6 +187,7 @@
     fn finished(&mut self, request: usize) {
         let progress = &mut self.requests[request];
         progress.done_at = Some(self.now);
+        progress.is_open = false;
         progress.delivered = progress.spec.output_tokens;
         let (prompt_tokens, output_tokens) =
             (progress.spec.prompt_tokens, progress.spec.output_tokens);
@@ -200,6 +220,7 @@
     fn failed(&mut self, request: usize) {
         self.refused += 1;
         let progress = &mut self.requests[request];
+        progress.is_open = false;
         if progress.tries >= self.scenario.caller_retries || progress.first_token_at.is_some() {
             return;
         }
--- a/crates/standin/src/experiment/world.rs
+++ b/crates/standin/src/experiment/world.rs
@@ -31,12 +31,15 @@
     pub(crate) attempts: u32,
     /// Number of KV cache transfers; a transfer that another one replaced has no effect.
     pub(crate) transfers: u32,
+    /// Whether the caller waits for an answer or for the rest of one.
+    pub(crate) is_open: bool,
 }
 
 /// Something that happens at a time.
 #[derive(Debug)]
 pub(crate) enum Happening {
     Arrive(usize),
+    GiveUp(usize),
     StepEnd(usize, u64),
     ToVm(usize, Box<SchedulerEvent>),
     ToPlanner(Box<PlannerEvent>),
@@ -74,6 +77,7 @@
     pub(crate) role_changes: u32,
     pub(crate) cut: u32,
     pub(crate) refused: u32,
+    pub(crate) given_up: u32,
     pub(crate) spent_cents: f64,
     queue: BinaryHeap<Reverse<(Duration, u64)>>,
     happenings: BTreeMap<u64, Happening>,
@@ -110,6 +114,7 @@
             role_changes: 0,
             cut: 0,
             refused: 0,
+            given_up: 0,
             spent_cents: 0.0,
             queue: BinaryHeap::new(),
             happenings: BTreeMap::new(),
@@ -315,6 +320,7 @@
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::Arrive(request) => self.arrive(request),
+            Happening::GiveUp(request) => self.give_up(request),
             Happening::StepEnd(engine, incarnation) => self.step_ended(engine, incarnation),
             Happening::ToVm(vm, event) => self.deliver_to_vm(vm, *event),
             Happening::ToPlanner(event) => self.tell_planner(*event),
@@ -386,6 +392,7 @@
             tries: 0,
             attempts: 0,
             transfers: 0,
+            is_open: false,
         }
     }
 }
