--- a/crates/jujubebeam/src/control/fleet/planning.rs
+++ b/crates/jujubebeam/src/control/fleet/planning.rs
@@ -1,7 +1,5 @@
 //! Runs the planner on the vm that holds `ordering`.
 
-use std::time::Duration;
-
 use jujubebeam_core::authority::Scope;
 use jujubebeam_core::fleet::{FleetTarget, Planner, PlannerCommand, PlannerConfig, PlannerEvent};
 use jujubebeam_core::peer::PeerMessage;
@@ -31,7 +29,7 @@
         }
         let planner = planners
             .entry(group.name.clone())
-            .or_insert_with(|| Planner::new(config(snapshot)));
+            .or_insert_with(|| Planner::new(PlannerConfig::from_policy(&snapshot.fleet.policy)));
         for event in events(context, snapshot, position, group) {
             planner.step(event, context.shared.clock.now(), &mut commands);
         }
@@ -42,17 +40,6 @@
     }
 }
 
-fn config(snapshot: &Snapshot) -> PlannerConfig {
-    let policy = &snapshot.fleet.policy;
-    PlannerConfig {
-        gain_horizon: Duration::from_secs(policy.role_gain_horizon_s),
-        change_cost: Duration::from_secs(policy.role_change_cost_s),
-        change_interval: Duration::from_secs(policy.role_change_interval_s),
-        changes_per_zone: policy.role_changes_per_zone,
-        ..PlannerConfig::default()
-    }
-}
-
 fn events(
     context: &Context,
     snapshot: &Snapshot,
