Let suspects wait for a target of their own instead of refusing them

Cause: when several targets die at once, more requests carry a crash count than there are targets. The rule that such requests do not share a target was part of what makes a target eligible, so the rest was refused at once with `no_target`. A connection that was refused also used up one of the three attempts, although it costs no target any work.

Ruled out: sharing targets between suspects, because one of them may be the request that kills, and its neighbours would get a second count.

Now the rule holds back the dispatch only, a suspect stops being one for the target with its first token, and attempts that were not sent are bounded by the targets that they exclude.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -240,16 +240,18 @@
 
     fn next_try(&mut self, failed: TargetId, spends: bool, out: &mut Vec<RequestCommand>) {
         self.end_move(out);
-        self.failed_attempts += 1;
         if !self.excluded.contains(&failed) {
             self.excluded.push(failed);
         }
-        if self.failed_attempts >= self.config.max_attempts {
-            return self.fail(FailCause::AttemptsUsed, out);
-        }
+        // An attempt that was not sent costs no target any work. After the loss of several targets
+        // at once, several of them may be met in a row; each is excluded, so this ends.
         if !spends {
             return self.acquire(out);
         }
+        self.failed_attempts += 1;
+        if self.failed_attempts >= self.config.max_attempts {
+            return self.fail(FailCause::AttemptsUsed, out);
+        }
         self.state = State::AskingBudget;
         out.push(RequestCommand::AskBudget);
     }
--- a/crates/core/src/scheduler.rs
+++ b/crates/core/src/scheduler.rs
@@ -327,6 +327,8 @@
         let view = self.views.get_mut(&running.target);
         if let Some(work) = view.and_then(|v| v.work_mut(request)) {
             work.streaming = true;
+            // The target has survived the prompt, so the next suspect may come.
+            work.suspect = false;
         }
     }
 
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -136,10 +136,16 @@
             view.is_open(now)
                 && !arrival.excluded.contains(&view.info.id)
                 && (!view.info.reclaimable || (arrival.repeatable && arrival.allow_reclaimable))
-                && !(arrival.suspect && self.load(view, now).suspects > 0)
         })
     }
 
+    /// Whether a request that may crash targets would be the only such request at a target. It
+    /// waits for one rather than being refused, because the loss of several targets at once makes
+    /// suspects of more requests than there are targets.
+    fn is_apart(&self, view: &TargetView, arrival: &Arrival, now: Duration) -> bool {
+        !arrival.suspect || self.load(view, now).suspects == 0
+    }
+
     pub(crate) fn load(&self, view: &TargetView, now: Duration) -> TargetLoad {
         view.load(self.expected_digests(), &self.config.rates, now)
     }
@@ -169,7 +175,7 @@
                 _ => self.mixed_choice(view, waiting, now),
             };
             let mut choice = choice;
-            choice.fits &= self.has_room(&choice, room);
+            choice.fits &= self.has_room(&choice, room) && self.is_apart(view, arrival, now);
             choice.fits &= choice.candidate.first_token.as_secs_f64() <= left;
             choices.push(choice);
         }
@@ -190,6 +196,7 @@
         let (interval_ms, id) = self
             .eligible(&waiting.arrival, now)
             .filter(|view| view.role != Role::Prefill)
+            .filter(|view| self.is_apart(view, &waiting.arrival, now))
             .map(|view| (self.interval_with(view, context, 0, now), view.info.id))
             .min_by(|a, b| a.0.total_cmp(&b.0))?;
         Some((id, interval_ms, interval_ms <= self.interval_aim_ms()))
@@ -289,7 +296,8 @@
                 zone: view.info.zone,
                 uncached_tokens: 0,
                 wait_s: 0.0,
-                fits: load < self.config.service_concurrency,
+                fits: load < self.config.service_concurrency
+                    && self.is_apart(view, &waiting.arrival, now),
             });
         }
         choices
