Pause before a request leaves a target that died

Cause: when a zone of targets vanishes, its targets die within milliseconds. A stream that resumed at once was at the second one when that died too. Two deaths look like a request that crashes its targets, so the stream ended with `request_crashes_targets` (answer of the failing run in crates/standin/tests/zone_withdrawn.rs).

Ruled out: counting deaths within a second as one, because a request that kills on arrival would then take four engines instead of two; and comparing with the deaths of targets that the request did not run on, because news of them arrive after the verdict.

A stream whose engine died pauses for 250 ms.

--- a/crates/jujubebeam/src/caller/chat/driver.rs
+++ b/crates/jujubebeam/src/caller/chat/driver.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use jujubebeam_caller::{CallerError, ChatAnswer, ChatChoice, ChatMessage, ErrorKind, Usage};
-use jujubebeam_core::quarantine::QuarantineEvent;
+use jujubebeam_core::quarantine::{QuarantineEvent, Verdict};
 use jujubebeam_core::request::{
     Close, RequestCommand, RequestConfig, RequestEvent, RequestMachine,
 };
@@ -29,6 +29,11 @@
 /// Time between two checks of the caller's key, the deadline and the target's state.
 pub(super) const CHECK_INTERVAL: Millis = Millis(500);
 
+/// Pause before a request leaves a target that died. Targets of one zone often vanish together; a
+/// request that moved on at once could be on the next one when it dies, and two deaths would make
+/// it look like the cause.
+const CRASH_PAUSE: Millis = Millis(250);
+
 /// One request while it runs.
 pub(super) struct Driver {
     pub(super) context: Context,
@@ -48,6 +53,8 @@
     usage: Option<Usage>,
     /// Span of the present attempt.
     pub(super) attempt_span: Span,
+    /// Whether a target died in the last attempt.
+    crashed: bool,
     /// Time of the next check of key, deadline and target.
     next_check: Duration,
 }
@@ -68,6 +75,7 @@
             delivered_other: false,
             usage: None,
             attempt_span: Span::none(),
+            crashed: false,
             next_check: Duration::ZERO,
         }
     }
@@ -229,11 +237,7 @@
     async fn perform(&mut self, command: RequestCommand) {
         match command {
             RequestCommand::Acquire { excluded } => self.acquire(excluded).await,
-            RequestCommand::AskBudget => {
-                let granted =
-                    !self.delivered_other && crashes::take_retry(&self.context, self.job.route);
-                self.feed(RequestEvent::Budget { granted });
-            }
+            RequestCommand::AskBudget => self.ask_budget().await,
             RequestCommand::Send {
                 attempt,
                 target,
@@ -259,6 +263,7 @@
                     target,
                 };
                 crashes::feed(&self.context, fingerprint, event);
+                self.crashed = true;
             }
             RequestCommand::Export { attempt, .. } => self.export(attempt).await,
             RequestCommand::Import { to, handle, .. } => self.import(to, handle).await,
@@ -266,6 +271,19 @@
         }
     }
 
+    async fn ask_budget(&mut self) {
+        let granted = !self.delivered_other && crashes::take_retry(&self.context, self.job.route);
+        let verdict = crashes::verdict(&self.context, self.job.fingerprint);
+        if std::mem::take(&mut self.crashed) && granted && verdict == Verdict::Suspect {
+            tokio::select! {
+                biased;
+                () = self.output.closed() => return self.caller_gone().await,
+                () = sleep(CRASH_PAUSE) => {}
+            }
+        }
+        self.feed(RequestEvent::Budget { granted });
+    }
+
     async fn deliver(&mut self, text: &str) {
         let shared = &self.context.shared;
         shared.metrics.count(Counter::OutputTokens);
