Keep test processes from blocking each other's ports

A child that is forked while another test probes free ports holds the probing sockets until its exec, so the process that is meant to use the port cannot bind it, and the test talks to another stand-in or to none.

Ruled out: two tests that are given the same block; giving each block out once did not change the failures.

Now probing and starting processes exclude each other, and a block is given out once per process.

--- a/crates/jujubebeam/src/peers.rs
+++ b/crates/jujubebeam/src/peers.rs
@@ -125,10 +125,6 @@
             }
             None
         }
-        PeerMessage::Ping => {
-            log::trace!("vm: ping from {from}");
-            None
-        }
         PeerMessage::Change(message) => fleet::deliver(context, sender, message),
         PeerMessage::WantRole { target, role } => {
             fleet::want_role(context, target, role);
--- a/crates/standin/tests/fleet.rs
+++ b/crates/standin/tests/fleet.rs
@@ -191,9 +191,9 @@
     let whole = fleet.chat(0, "meanwhile", 20);
     assert!(whole.is_whole(), "{whole:?}");
     let address = format!("127.0.0.1:{port}");
-    let engine = Command::new(env!("CARGO_BIN_EXE_jujubebeam-standin"))
-        .args(["engine", "--address", &address, "--model", "darn-7b"])
-        .spawn();
+    let mut engine = Command::new(env!("CARGO_BIN_EXE_jujubebeam-standin"));
+    engine.args(["engine", "--address", &address, "--model", "darn-7b"]);
+    let engine = support::spawn(&mut engine);
     let _engine = Replacement(engine.expect("the engine starts"));
     until(|| state().as_deref() == Some("settled"));
     assert!(has_role(port, "mixed"));
--- a/crates/standin/tests/standins.rs
+++ b/crates/standin/tests/standins.rs
@@ -39,7 +39,7 @@
         if name == "platform" {
             command.args(["--vms", &vms, "--targets", &targets]);
         }
-        let child = command.spawn().expect("the stand-in binary starts");
+        let child = support::spawn(&mut command).expect("the stand-in binary starts");
         until(|| send(port, "GET", "/standin/faults", "", "").is_some());
         Self {
             child,
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -5,11 +5,11 @@
 pub(crate) mod checks;
 pub(crate) mod system;
 
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use std::{fs, thread};
@@ -52,14 +52,12 @@
         let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
         let waited = ENDED.wait_while(running, |running| *running >= FLEETS);
         *waited.unwrap_or_else(PoisonError::into_inner) += 1;
-        let (base, block) = free_block();
-        drop(block);
-        let up = Command::new(BINARY)
-            .args(["up", "--base-port", &base.to_string()])
+        let base = free_port();
+        let mut up = Command::new(BINARY);
+        up.args(["up", "--base-port", &base.to_string()])
             .args(options)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the stand-in binary starts");
+            .stdout(Stdio::null());
+        let up = spawn(&mut up).expect("the stand-in binary starts");
         let fleet = Self {
             up,
             base,
@@ -174,7 +172,7 @@
 
     /// Starts a process of this fleet again after it has ended.
     pub(crate) fn restart(&self, arguments: &[&str]) {
-        let child = Command::new(BINARY).args(arguments).spawn();
+        let child = spawn(Command::new(BINARY).args(arguments));
         let child = child.expect("the stand-in binary starts");
         let mut restarted = self.restarted.lock().expect("no test panicked");
         restarted.push(child);
@@ -284,22 +282,31 @@
     }
 }
 
-/// A port that can be bound now, for a process of its own.
-pub(crate) fn free_port() -> u16 {
-    free_block().0
+/// First ports of the blocks that were given out. The lock is also held while a process starts: a
+/// child that is forked while ports are probed holds their sockets until its `exec`, and the process
+/// that then wants the port cannot bind it.
+static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
+/// Starts a process.
+pub(crate) fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let _given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
 }
 
-/// Finds a block of ports that can be bound now. Test processes start at different places.
-fn free_block() -> (u16, Vec<TcpListener>) {
-    // Fleets of one process must not find the same block between its release and its use.
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let fleet = NEXT.fetch_add(1, Ordering::Relaxed);
-    let start = 24_000 + (std::process::id() % 50) as u16 * 128 + fleet * PORTS;
+/// First port of a block that can be bound now. Test processes start at different places, and no
+/// block is given out twice.
+pub(crate) fn free_port() -> u16 {
+    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+    let start = 24_000 + (std::process::id() % 50) as u16 * 128;
     for base in (start..32_000).chain(24_000..start).step_by(PORTS.into()) {
+        if given.contains(&base) {
+            continue;
+        }
         let bind = |port| TcpListener::bind((Ipv4Addr::LOCALHOST, port));
         let block: Result<Vec<_>, _> = (base..base + PORTS).map(bind).collect();
-        if let Ok(block) = block {
-            return (base, block);
+        if block.is_ok() {
+            given.insert(base);
+            return base;
         }
     }
     panic!("no free block of ports");
