Use the field's terms in planned changes

Cause: a held scope was called an office, a vm that is still learning the marks in force blind, and a target past its cooldown rested. The names did not say what the things are. No behaviour changes; change, authority and planner tests pass.

--- a/crates/core/src/authority/lease.rs
+++ b/crates/core/src/authority/lease.rs
@@ -461,7 +461,7 @@
             (Phase::Listing, _) if now >= self.valid_until => self.give_up(),
             (Phase::Listing, StoreReply::Values { entries, .. }) => {
                 self.list_from = now + common.config.list_age;
-                self.take_office(entries, out);
+                self.take_scope(entries, out);
             }
             (Phase::Listing, _) => self.not_before = retry,
             (Phase::Revoking, StoreReply::Revoked | StoreReply::Expired) => {
@@ -499,7 +499,7 @@
         self.phase = Phase::Listing;
     }
 
-    fn take_office(&mut self, entries: Vec<Entry>, out: &mut Vec<Command<O>>) {
+    fn take_scope(&mut self, entries: Vec<Entry>, out: &mut Vec<Command<O>>) {
         let prefix = self.scope.intent_prefix();
         self.slots.clear();
         for entry in entries {
--- a/crates/core/src/authority/machine.rs
+++ b/crates/core/src/authority/machine.rs
@@ -261,7 +261,7 @@
     }
 
     /// Fence of a scope if this vm holds it at `now`, with its unsettled orders by target.
-    pub fn office(&self, scope: &Scope, now: Duration) -> Option<(Fence, Vec<(String, O)>)> {
+    pub fn held(&self, scope: &Scope, now: Duration) -> Option<(Fence, Vec<(String, O)>)> {
         let state = self.scopes.get(scope)?;
         Some((state.fence_at(now)?, state.unsettled()))
     }
--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -19,7 +19,7 @@
 use crate::authority::{Holder, Scope};
 use crate::invariant::{self, Invariant};
 use crate::{Fence, Incarnation, Machine, TargetId, VmId};
-use holder::{Change, Office, Phase};
+use holder::{Change, HeldScope, Phase};
 use participant::Participant;
 
 /// Planned changes at one vm, both as holder of scopes and as sender of work.
@@ -31,7 +31,7 @@
     scopes: BTreeSet<Scope>,
     runs: BTreeMap<VmId, Incarnation>,
     participant: Participant,
-    offices: BTreeMap<Scope, Office>,
+    held_scopes: BTreeMap<Scope, HeldScope>,
     changes: BTreeMap<TargetId, Change>,
     next: u64,
 }
@@ -46,7 +46,7 @@
             vms: BTreeSet::new(),
             scopes: BTreeSet::new(),
             runs: BTreeMap::new(),
-            offices: BTreeMap::new(),
+            held_scopes: BTreeMap::new(),
             changes: BTreeMap::new(),
             next: 0,
         }
@@ -63,8 +63,8 @@
     }
 
     /// True until enough peers have told the marks that they know.
-    pub fn is_blind(&self) -> bool {
-        self.participant.is_blind()
+    pub fn is_syncing(&self) -> bool {
+        self.participant.is_syncing()
     }
 
     /// Whether new work must not go to a target.
@@ -116,21 +116,21 @@
     }
 
     fn held(&mut self, scope: Scope, fence: Option<Fence>, pending: Vec<TargetId>, now: Duration) {
-        let present = self.offices.get(&scope).map(|o| o.fence);
+        let present = self.held_scopes.get(&scope).map(|o| o.fence);
         if present != fence {
             self.changes.retain(|_, c| c.scope != scope);
-            self.offices.remove(&scope);
+            self.held_scopes.remove(&scope);
         }
         let Some(fence) = fence else {
             return;
         };
         if present != Some(fence) {
-            let office = Office {
+            let held = HeldScope {
                 fence,
                 linger_until: now + self.config.linger,
                 sent_at: None,
             };
-            self.offices.insert(scope.clone(), office);
+            self.held_scopes.insert(scope.clone(), held);
         }
         // The listed orders of a scope are all that earlier holders may have sent.
         self.participant.learn_own(&scope);
@@ -144,12 +144,12 @@
     }
 
     fn begin(&mut self, scope: Scope, target: TargetId, longest_wait: Duration, now: Duration) {
-        if !self.offices.contains_key(&scope) || self.changes.contains_key(&target) {
+        if !self.held_scopes.contains_key(&scope) || self.changes.contains_key(&target) {
             return;
         }
         let number = self.number();
-        if let Some(office) = self.offices.get_mut(&scope) {
-            office.sent_at = None;
+        if let Some(held) = self.held_scopes.get_mut(&scope) {
+            held.sent_at = None;
         }
         let change = Change::new(scope, number, longest_wait, now);
         self.changes.insert(target, change);
@@ -168,9 +168,9 @@
         let Some(change) = self.changes.remove(&target) else {
             return;
         };
-        if let Some(office) = self.offices.get_mut(&change.scope) {
-            office.linger_until = now + self.config.linger;
-            office.sent_at = None;
+        if let Some(held) = self.held_scopes.get_mut(&change.scope) {
+            held.linger_until = now + self.config.linger;
+            held.sent_at = None;
         }
         out.push(ChangeCommand::Done(target));
     }
@@ -203,19 +203,19 @@
                 self.participant.introduce(from, now);
                 let mut known = self.participant.known();
                 // A holder also tells that it has no marks, which ends those of its predecessor.
-                let scopes: Vec<Scope> = self.offices.keys().cloned().collect();
+                let scopes: Vec<Scope> = self.held_scopes.keys().cloned().collect();
                 known.retain(|m| !scopes.contains(&m.scope));
                 for scope in scopes {
                     known.extend(self.marks(&scope));
                 }
-                let blind = self.participant.is_blind();
+                let syncing = self.participant.is_syncing();
                 out.push(reply(ChangeMessage::Known {
                     marks: known,
-                    blind,
+                    syncing,
                 }));
             }
-            ChangeMessage::Known { marks, blind } => {
-                self.participant.learn(from, marks, blind, now);
+            ChangeMessage::Known { marks, syncing } => {
+                self.participant.learn(from, marks, syncing, now);
             }
         }
     }
@@ -236,8 +236,8 @@
         counts: Vec<MarkCount>,
         introduced: &[Holder],
     ) {
-        let office = self.offices.get(scope);
-        if office.is_none_or(|o| o.fence != fence) {
+        let held = self.held_scopes.get(scope);
+        if held.is_none_or(|o| o.fence != fence) {
             return;
         }
         for count in counts {
@@ -249,13 +249,13 @@
 
     /// Marks of a scope that this vm holds.
     fn marks(&mut self, scope: &Scope) -> Option<Marks> {
-        // Numbers go on when an office is regained with the same fence.
+        // Numbers go on when an held is regained with the same fence.
         let seq = self.number();
-        let office = self.offices.get(scope)?;
+        let held = self.held_scopes.get(scope)?;
         let changes = self.changes.iter().filter(|(_, c)| c.scope == *scope);
         Some(Marks {
             scope: scope.clone(),
-            fence: office.fence,
+            fence: held.fence,
             holder: self.me,
             seq,
             marks: changes.map(|(t, c)| c.mark(*t)).collect(),
@@ -267,7 +267,7 @@
         for target in targets {
             self.advance_one(target, now, out);
         }
-        let scopes: Vec<Scope> = self.offices.keys().cloned().collect();
+        let scopes: Vec<Scope> = self.held_scopes.keys().cloned().collect();
         for scope in scopes {
             self.tell(&scope, now, out);
         }
@@ -295,8 +295,8 @@
         match phase {
             Phase::Draining => {
                 change.phase = Phase::Holding;
-                if let Some(office) = self.offices.get_mut(&change.scope) {
-                    office.sent_at = None;
+                if let Some(held) = self.held_scopes.get_mut(&change.scope) {
+                    held.sent_at = None;
                 }
             }
             Phase::Holding => {
@@ -309,17 +309,17 @@
     }
 
     fn tell(&mut self, scope: &Scope, now: Duration, out: &mut Vec<ChangeCommand>) {
-        let Some(office) = self.offices.get_mut(scope) else {
+        let Some(held) = self.held_scopes.get_mut(scope) else {
             return;
         };
-        let due = office
+        let due = held
             .sent_at
             .is_none_or(|at| now.saturating_sub(at) >= self.config.repeat_every);
-        let quiet = now >= office.linger_until && !self.changes.values().any(|c| c.scope == *scope);
+        let quiet = now >= held.linger_until && !self.changes.values().any(|c| c.scope == *scope);
         if !due || quiet {
             return;
         }
-        office.sent_at = Some(now);
+        held.sent_at = Some(now);
         let Some(marks) = self.marks(scope) else {
             return;
         };
--- a/crates/core/src/change/holder.rs
+++ b/crates/core/src/change/holder.rs
@@ -9,7 +9,7 @@
 
 /// A scope that this vm holds.
 #[derive(Debug)]
-pub(super) struct Office {
+pub(super) struct HeldScope {
     pub(super) fence: Fence,
     /// Time until which marks are repeated although there are none.
     pub(super) linger_until: Duration,
--- a/crates/core/src/change/participant.rs
+++ b/crates/core/src/change/participant.rs
@@ -48,7 +48,7 @@
     }
 
     /// True until enough peers have told the marks that they know.
-    pub(super) fn is_blind(&self) -> bool {
+    pub(super) fn is_syncing(&self) -> bool {
         self.answered.is_some()
     }
 
@@ -63,7 +63,7 @@
     }
 
     pub(super) fn enter(&mut self, target: TargetId) -> bool {
-        if self.is_blind() || self.is_marked(target) {
+        if self.is_syncing() || self.is_marked(target) {
             return false;
         }
         *self.in_flight.entry(target).or_default() += 1;
@@ -98,7 +98,7 @@
 
     /// Takes over what a peer knows. The peer may have heard it before its holder's process ended,
     /// so the time to live starts anew here, which only keeps work away for longer.
-    pub(super) fn learn(&mut self, from: Holder, known: Vec<Marks>, blind: bool, now: Duration) {
+    pub(super) fn learn(&mut self, from: Holder, known: Vec<Marks>, syncing: bool, now: Duration) {
         for marks in known {
             if let Some(answered) = self.answered.as_mut().filter(|_| marks.holder == from) {
                 answered.scopes.insert(marks.scope.clone());
@@ -112,7 +112,7 @@
             }
         }
         // Another new vm knows as little as this one.
-        if let Some(answered) = self.answered.as_mut().filter(|_| !blind) {
+        if let Some(answered) = self.answered.as_mut().filter(|_| !syncing) {
             answered.vms.insert(from.vm);
         }
     }
@@ -199,7 +199,7 @@
         let due = self
             .asked_at
             .is_none_or(|at| now.saturating_sub(at) >= config.repeat_every);
-        if !due || !(stale || self.is_blind()) {
+        if !due || !(stale || self.is_syncing()) {
             return false;
         }
         self.asked_at = Some(now);
--- a/crates/core/src/change/types.rs
+++ b/crates/core/src/change/types.rs
@@ -65,7 +65,7 @@
         /// The marks. A holder also names its scopes without marks.
         marks: Vec<Marks>,
         /// Whether the sender itself still waits for answers.
-        blind: bool,
+        syncing: bool,
     },
 }
 
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -215,12 +215,12 @@
             .changes
             .keys()
             .filter(|other| self.targets.get(other).is_some_and(|t| t.spec.zone == zone));
-        let rested = known
+        let cooldown_over = known
             .changed_at
             .is_none_or(|at| now.saturating_sub(at) >= self.config.change_interval);
         known.state == TargetState::Serving
             && !known.spec.leaving
-            && rested
+            && cooldown_over
             && !self.changes.contains_key(&id)
             && in_zone.count() < self.config.changes_per_zone as usize
             && self.may_leave_role(id)
--- a/crates/jujubebeam/src/control/fleet.rs
+++ b/crates/jujubebeam/src/control/fleet.rs
@@ -129,12 +129,12 @@
     let scopes = engine_scopes(snapshot);
     feed::<ChangesPart>(context, ChangeEvent::Scopes(scopes.clone()));
     for scope in scopes {
-        let office = shared
+        let held = shared
             .authority
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .office(&scope, now);
-        let (fence, orders) = office.map_or((None, Vec::new()), |(f, o)| (Some(f), o));
+            .held(&scope, now);
+        let (fence, orders) = held.map_or((None, Vec::new()), |(f, o)| (Some(f), o));
         let away =
             |order: &ControlOrder| matches!(order, ControlOrder::Engine(Order::SetRole { .. }));
         let pending = orders.iter().filter(|(_, order)| away(order));
@@ -236,7 +236,7 @@
         && !shared.fleet.is_marked(target.id)
         && shared
             .fleet
-            .is_rested(target.id, interval, shared.clock.now())
+            .is_cooldown_over(target.id, interval, shared.clock.now())
         && snapshot.targets.values().any(|t| serves(&t))
 }
 
@@ -312,7 +312,7 @@
 /// Waits until a new vm knows which targets are about to change.
 pub(crate) async fn wait_for_marks(context: &Context, longest: Duration) {
     let until = context.shared.clock.now() + longest;
-    while context.shared.fleet.is_blind() && context.shared.clock.now() < until {
+    while context.shared.fleet.is_syncing() && context.shared.clock.now() < until {
         sleep(Millis(50)).await;
     }
 }
--- a/crates/jujubebeam/src/control/fleet/state.rs
+++ b/crates/jujubebeam/src/control/fleet/state.rs
@@ -27,7 +27,7 @@
     demand: Mutex<HashMap<(RouteId, VmId), (Demand, Duration)>>,
     wanted: Mutex<BTreeMap<TargetId, Order>>,
     postponed: Mutex<BTreeMap<TargetId, String>>,
-    rested_from: Mutex<BTreeMap<TargetId, Duration>>,
+    cooldown_from: Mutex<BTreeMap<TargetId, Duration>>,
 }
 
 impl FleetState {
@@ -40,7 +40,7 @@
             demand: Mutex::default(),
             wanted: Mutex::default(),
             postponed: Mutex::default(),
-            rested_from: Mutex::default(),
+            cooldown_from: Mutex::default(),
         }
     }
 
@@ -64,8 +64,8 @@
         lock(&self.changes).may_send(target)
     }
 
-    pub(super) fn is_blind(&self) -> bool {
-        lock(&self.changes).is_blind()
+    pub(super) fn is_syncing(&self) -> bool {
+        lock(&self.changes).is_syncing()
     }
 
     pub(super) fn marked(&self) -> Vec<TargetId> {
@@ -92,11 +92,16 @@
     }
 
     pub(super) fn rest(&self, target: TargetId, now: Duration) {
-        lock(&self.rested_from).insert(target, now);
+        lock(&self.cooldown_from).insert(target, now);
     }
 
-    pub(super) fn is_rested(&self, target: TargetId, interval: Duration, now: Duration) -> bool {
-        let from = lock(&self.rested_from).get(&target).copied();
+    pub(super) fn is_cooldown_over(
+        &self,
+        target: TargetId,
+        interval: Duration,
+        now: Duration,
+    ) -> bool {
+        let from = lock(&self.cooldown_from).get(&target).copied();
         from.is_none_or(|at| now.saturating_sub(at) >= interval)
     }
 
