--- a/crates/jujubebeam/src/control/fleet.rs
+++ b/crates/jujubebeam/src/control/fleet.rs
@@ -67,7 +67,7 @@
             }
             ChangeCommand::Done(target) => {
                 log::info!("fleet: change of {} is over", name(context, target));
-                fleet.rest(target, context.shared.clock.now());
+                fleet.start_cooldown(target, context.shared.clock.now());
             }
         }
     }
--- a/crates/jujubebeam/src/control/fleet/state.rs
+++ b/crates/jujubebeam/src/control/fleet/state.rs
@@ -91,7 +91,7 @@
         lock(&self.postponed).insert(target, reason);
     }
 
-    pub(super) fn rest(&self, target: TargetId, now: Duration) {
+    pub(super) fn start_cooldown(&self, target: TargetId, now: Duration) {
         lock(&self.cooldown_from).insert(target, now);
     }
 
