--- /dev/null
+++ b/crates/core/src/gateway.rs
@@ -0,0 +1,28 @@
+//! Decisions about opaque requests: routes by host and path, the choice of a target, repeats and
+//! the final answer.
+//!
+//! A request of this kind is forwarded byte for byte; the system reads no body. See
+//! `docs/platform.md`.
+
+mod budget;
+mod catalog;
+mod mirror;
+mod outcome;
+mod placement;
+mod settings;
+mod true_time;
+mod usage_window;
+
+pub use budget::{ArrivalBudget, ArrivalBudgetConfig};
+pub use catalog::{Catalog, CatalogTarget, Stage, TargetKey, TargetPhase};
+pub use mirror::{Mirror, MirrorDelta, MirrorItem};
+pub use outcome::{AttemptEnd, FinalAnswer, NextStep, Repeatability, RequestProgress};
+pub use placement::{
+    LoadReport, PlaceRequest, Placed, PlacementConfig, Placer, PromptPart, RefusedPlace,
+};
+pub use settings::{
+    EngineLimits, GatewaySettings, GatewayTenant, HostRoute, RequestKind, Service, ServiceShare,
+    TenantIndex,
+};
+pub use true_time::TrueTime;
+pub use usage_window::{UsageWindows, WindowCounts};
--- /dev/null
+++ b/crates/core/src/gateway/budget.rs
@@ -0,0 +1,110 @@
+//! The share of a vm in the budget of arrivals beyond the first of each request.
+//!
+//! The budget is a sliding sum over all vms, so each vm spends only what its own requests earn and
+//! an equal part of the fixed allowance.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+/// Buckets into which the window is divided. Expiry by buckets errs on the strict side by one.
+const BUCKETS: u32 = 20;
+
+/// Settings of an [`ArrivalBudget`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ArrivalBudgetConfig {
+    /// Length of the sliding window.
+    pub window: Duration,
+    /// Extra arrivals for each request.
+    pub ratio: f64,
+    /// Extra arrivals in a window that need no requests, for all vms together.
+    pub allowance: f64,
+    /// Part of the budget that is used. The rest covers requests that other vms see differently.
+    pub used_part: f64,
+}
+
+impl Default for ArrivalBudgetConfig {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(10),
+            ratio: 0.2,
+            allowance: 50.0,
+            used_part: 0.7,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Sums {
+    /// Bucket number, requests and extra arrivals.
+    buckets: VecDeque<(u64, u32, u32)>,
+}
+
+/// Budget of this vm, by service.
+#[derive(Debug)]
+pub struct ArrivalBudget {
+    config: ArrivalBudgetConfig,
+    services: HashMap<String, Sums>,
+}
+
+impl ArrivalBudget {
+    /// Creates a budget from which nothing was spent.
+    pub fn new(config: ArrivalBudgetConfig) -> Self {
+        Self {
+            config,
+            services: HashMap::new(),
+        }
+    }
+
+    fn bucket(&self, now: Duration) -> u64 {
+        let length = self.config.window / BUCKETS;
+        (now.as_nanos() / length.as_nanos().max(1)) as u64
+    }
+
+    fn sums(&mut self, service: &str, now: Duration) -> &mut Sums {
+        let bucket = self.bucket(now);
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), Sums::default());
+        }
+        let sums = self.services.entry(service.to_owned()).or_default();
+        // One bucket more than the window, so that an arrival is never forgotten too early.
+        while sums
+            .buckets
+            .front()
+            .is_some_and(|(at, _, _)| at + u64::from(BUCKETS) < bucket)
+        {
+            sums.buckets.pop_front();
+        }
+        if sums.buckets.back().is_none_or(|(at, _, _)| *at != bucket) {
+            sums.buckets.push_back((bucket, 0, 0));
+        }
+        sums
+    }
+
+    /// Counts a request for a service.
+    pub fn request(&mut self, service: &str, now: Duration) {
+        if let Some(last) = self.sums(service, now).buckets.back_mut() {
+            last.1 += 1;
+        }
+    }
+
+    /// Takes one extra arrival from the budget, if the vm's share allows it among `vms` vms.
+    pub fn take(&mut self, service: &str, vms: usize, now: Duration) -> bool {
+        let config = self.config;
+        let sums = self.sums(service, now);
+        let (requests, extras) = sums
+            .buckets
+            .iter()
+            .fold((0u32, 0u32), |(r, e), (_, requests, extras)| {
+                (r + requests, e + extras)
+            });
+        let own = config.allowance / vms.max(1) as f64;
+        let limit = (f64::from(requests) * config.ratio + own) * config.used_part;
+        if f64::from(extras) + 1.0 > limit {
+            return false;
+        }
+        if let Some(last) = sums.buckets.back_mut() {
+            last.2 += 1;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/catalog.rs
@@ -0,0 +1,130 @@
+//! The targets that exist, as their entries in the store say.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use strum::{Display, EnumString, IntoStaticStr};
+
+/// Key of one run of a target. A restart, a new id or a new address gives a new key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TargetKey(pub u32);
+
+/// What part of a request's work an engine does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Stage {
+    /// Computes prompts and hands the KV cache over.
+    Prefill,
+    /// Generates tokens, and computes prompts slowly.
+    Decode,
+}
+
+/// Whether a target takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum TargetPhase {
+    /// Takes new work.
+    Ready,
+    /// Finishes its work and leaves.
+    Draining,
+}
+
+/// One target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CatalogTarget {
+    /// Id, which a request names so that another target at the same address refuses it.
+    pub id: String,
+    /// Service that the target belongs to.
+    pub service: String,
+    /// Address as `ip:port`.
+    pub address: String,
+    /// Zone by name.
+    pub zone: String,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Whether the target takes new work.
+    pub phase: TargetPhase,
+    /// Stage of an engine, or `None` for a plain service.
+    pub stage: Option<Stage>,
+    /// Start of the run in milliseconds since 1970, or 0 if unknown.
+    pub born_ms: u64,
+}
+
+impl CatalogTarget {
+    fn is_same_run(&self, other: &Self) -> bool {
+        self.id == other.id
+            && self.address == other.address
+            && self.service == other.service
+            && self.born_ms == other.born_ms
+    }
+}
+
+/// Targets by key. Keys are never reused.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    next_key: u32,
+    by_id: BTreeMap<String, TargetKey>,
+    targets: HashMap<TargetKey, CatalogTarget>,
+    /// Targets whose entries are missing, with the time at which that counts.
+    missing: HashMap<TargetKey, Duration>,
+}
+
+impl Catalog {
+    /// Takes over the entries that exist. A missing target counts as gone after `hold`, which is
+    /// zero unless the store has just returned from an outage in which entries may have lapsed.
+    pub fn update(&mut self, entries: Vec<CatalogTarget>, hold: Duration, now: Duration) {
+        let mut seen = std::collections::HashSet::new();
+        for entry in entries {
+            let known = self.by_id.get(&entry.id).copied();
+            let same = known.filter(|key| self.targets[key].is_same_run(&entry));
+            let key = same.unwrap_or_else(|| self.new_key());
+            if let Some(old) = known.filter(|old| *old != key) {
+                self.targets.remove(&old);
+            }
+            self.by_id.insert(entry.id.clone(), key);
+            self.missing.remove(&key);
+            seen.insert(key);
+            self.targets.insert(key, entry);
+        }
+        let missing: Vec<_> = self.targets.keys().copied().collect();
+        for key in missing.into_iter().filter(|key| !seen.contains(key)) {
+            self.missing.entry(key).or_insert(now + hold);
+        }
+        self.forget_gone(now);
+    }
+
+    /// Drops targets whose entries have been missing for long enough.
+    pub fn forget_gone(&mut self, now: Duration) {
+        let gone: Vec<_> = self
+            .missing
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in gone {
+            self.missing.remove(&key);
+            if let Some(target) = self.targets.remove(&key)
+                && self.by_id.get(&target.id) == Some(&key)
+            {
+                self.by_id.remove(&target.id);
+            }
+        }
+    }
+
+    /// A target by key, unless it is gone.
+    pub fn get(&self, key: TargetKey) -> Option<&CatalogTarget> {
+        self.targets.get(&key)
+    }
+
+    /// All targets, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &CatalogTarget)> {
+        self.by_id
+            .values()
+            .filter_map(|key| Some((*key, self.targets.get(key)?)))
+    }
+
+    fn new_key(&mut self) -> TargetKey {
+        self.next_key += 1;
+        TargetKey(self.next_key)
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/mirror.rs
@@ -0,0 +1,186 @@
+//! A copy of one prefix of the store, fed by the store and by other vms.
+//!
+//! A vm that the store turns away hears of changes from its peers, so every vm keeps the revision
+//! up to which its copy is complete. Copies only move forward.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Revision;
+use crate::store::Entry;
+
+/// Removed keys that are remembered, so that peers learn of the removal without a whole copy.
+const REMEMBERED_REMOVALS: usize = 512;
+
+/// One key as peers tell each other. No value means that the key was removed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MirrorItem {
+    /// The key.
+    pub key: String,
+    /// Revision of the last change.
+    pub revision: Revision,
+    /// The value, or `None` after a removal.
+    pub value: Option<Vec<u8>>,
+}
+
+/// What one vm sends to another whose copy is behind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MirrorDelta {
+    /// Revision up to which the sender's copy is complete.
+    pub complete: Revision,
+    /// Whether the items are all that exists, rather than the changes since the asked revision.
+    pub is_whole: bool,
+    /// The items.
+    pub items: Vec<MirrorItem>,
+}
+
+/// A copy of the keys with one prefix.
+#[derive(Clone, Debug, Default)]
+pub struct Mirror {
+    complete: Option<Revision>,
+    items: BTreeMap<String, (Revision, Vec<u8>)>,
+    removals: BTreeMap<String, Revision>,
+    /// Removals at or before this revision may have been forgotten.
+    horizon: Revision,
+}
+
+impl Mirror {
+    /// Revision up to which the copy is complete, or `None` before the first whole copy.
+    pub fn complete(&self) -> Option<Revision> {
+        self.complete
+    }
+
+    /// Keys and values.
+    pub fn items(&self) -> impl Iterator<Item = (&str, Revision, &[u8])> {
+        self.items
+            .iter()
+            .map(|(key, (revision, value))| (key.as_str(), *revision, value.as_slice()))
+    }
+
+    /// Takes over a whole listing of the store at revision `at`. Returns whether anything changed.
+    pub fn replace(&mut self, entries: Vec<Entry>, at: Revision) -> bool {
+        let items = entries.into_iter().map(|entry| MirrorItem {
+            key: entry.key,
+            revision: entry.modified,
+            value: Some(entry.value),
+        });
+        self.replace_items(items.collect(), at)
+    }
+
+    fn replace_items(&mut self, items: Vec<MirrorItem>, at: Revision) -> bool {
+        if self.complete.is_some_and(|complete| at < complete) {
+            return false;
+        }
+        let present: std::collections::HashSet<_> = items.iter().map(|i| i.key.clone()).collect();
+        let gone: Vec<_> = self
+            .items
+            .iter()
+            .filter(|(key, (revision, _))| *revision <= at && !present.contains(*key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        let mut changed = false;
+        for key in gone {
+            changed |= self.apply(MirrorItem {
+                key,
+                revision: at,
+                value: None,
+            });
+        }
+        for item in items {
+            changed |= self.apply(item);
+        }
+        // What was removed between the old copy and the listing is not known key by key.
+        self.horizon = self.horizon.max(self.complete.unwrap_or(at));
+        self.complete = Some(at);
+        changed
+    }
+
+    /// Takes over changes that the store reported in order, up to revision `at`.
+    pub fn advance(&mut self, items: Vec<MirrorItem>, at: Revision) -> bool {
+        let mut changed = false;
+        for item in items {
+            changed |= self.apply(item);
+        }
+        if self.complete.is_some_and(|complete| complete < at) {
+            self.complete = Some(at);
+        }
+        changed
+    }
+
+    /// What a peer lacks whose copy is complete up to `asked`; `None` if it lacks nothing.
+    pub fn delta(&self, asked: Option<Revision>) -> Option<MirrorDelta> {
+        let complete = self.complete?;
+        if asked.is_some_and(|asked| asked >= complete) {
+            return None;
+        }
+        let from = asked.filter(|asked| *asked >= self.horizon);
+        let after = from.unwrap_or_default();
+        let live = self
+            .items
+            .iter()
+            .map(|(key, (revision, value))| MirrorItem {
+                key: key.clone(),
+                revision: *revision,
+                value: Some(value.clone()),
+            });
+        let removed = self.removals.iter().map(|(key, revision)| MirrorItem {
+            key: key.clone(),
+            revision: *revision,
+            value: None,
+        });
+        let is_whole = from.is_none();
+        let items = if is_whole {
+            live.collect()
+        } else {
+            live.chain(removed)
+                .filter(|item| item.revision > after)
+                .collect()
+        };
+        Some(MirrorDelta {
+            complete,
+            is_whole,
+            items,
+        })
+    }
+
+    /// Takes over what a peer sent. Returns whether anything changed.
+    pub fn merge(&mut self, delta: MirrorDelta) -> bool {
+        if delta.is_whole {
+            return self.replace_items(delta.items, delta.complete);
+        }
+        self.advance(delta.items, delta.complete)
+    }
+
+    fn apply(&mut self, item: MirrorItem) -> bool {
+        let known = self.items.get(&item.key).map(|(revision, _)| *revision);
+        let removed = self.removals.get(&item.key).copied();
+        if known.max(removed).is_some_and(|k| k >= item.revision) {
+            return false;
+        }
+        match item.value {
+            Some(value) => {
+                self.removals.remove(&item.key);
+                self.items.insert(item.key, (item.revision, value));
+            }
+            None => {
+                self.items.remove(&item.key);
+                self.removals.insert(item.key, item.revision);
+                self.forget_removals();
+            }
+        }
+        true
+    }
+
+    fn forget_removals(&mut self) {
+        while self.removals.len() > REMEMBERED_REMOVALS {
+            let oldest = self.removals.iter().min_by_key(|(_, revision)| **revision);
+            let Some((key, revision)) = oldest.map(|(key, revision)| (key.clone(), *revision))
+            else {
+                return;
+            };
+            self.horizon = self.horizon.max(revision);
+            self.removals.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/settings.rs
@@ -0,0 +1,191 @@
+//! Routes, services and tenants in force for opaque requests.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+/// Position of a tenant in [`GatewaySettings::tenants`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TenantIndex(pub u32);
+
+/// What may be repeated on a route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RequestKind {
+    /// The request may run more than once.
+    Idempotent,
+    /// The request may run at most once.
+    #[default]
+    Once,
+    /// The answer is a stream of events; it may run at most once unless the route is resumable.
+    Stream,
+}
+
+/// A service and its share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceShare {
+    /// Service by name.
+    pub service: String,
+    /// Relative share.
+    pub weight: u32,
+}
+
+/// One route, selected by host and longest path prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HostRoute {
+    /// Name of the route.
+    pub name: String,
+    /// Host that the route answers for, in lower case.
+    pub host: String,
+    /// Prefix of the path. It begins and ends with a slash.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub kind: RequestKind,
+    /// Whether a stream may be resumed at another target.
+    pub resumable: bool,
+    /// Longest time that a request is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer earns full credit.
+    pub latency_aim: Duration,
+    /// Number of targets to which one request may be sent.
+    pub max_attempts: u32,
+    /// Rank, 0 is the highest.
+    pub priority: u32,
+    /// Whether requests need no key.
+    pub is_public: bool,
+    /// Whether requests name the parts of their prompt.
+    pub has_prompt_parts: bool,
+    /// Services that share the requests.
+    pub services: SmallVec<[ServiceShare; 2]>,
+}
+
+/// Figures of the engines of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineLimits {
+    /// Requests that one engine runs at once.
+    pub slots: u32,
+    /// Tokens that fit into the memory of one engine.
+    pub memory_tokens: u64,
+}
+
+/// A service, which is a group of targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Service {
+    /// Name of the service.
+    pub name: String,
+    /// Path of the health check.
+    pub health_path: String,
+    /// Connections that one target accepts from all callers together.
+    pub max_connections: u32,
+    /// Set if the targets are inference engines.
+    pub engine: Option<EngineLimits>,
+}
+
+/// A tenant (workspace) with its keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GatewayTenant {
+    /// Name of the tenant, which targets receive.
+    pub name: String,
+    /// Rank that goes before the rank of the route.
+    pub priority: Option<u32>,
+}
+
+/// One version of the settings for opaque requests. It never changes; a newer version replaces it
+/// as a whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// Version, which only grows.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<HostRoute>,
+    /// Services by name.
+    pub services: HashMap<String, Service>,
+    /// Tenants.
+    pub tenants: Vec<GatewayTenant>,
+    /// Tenants by key.
+    pub keys: HashMap<String, TenantIndex>,
+    /// Longest body of a request.
+    pub max_body_bytes: usize,
+    /// Time in which a request's header must arrive.
+    pub header_timeout: Duration,
+    /// Time after which an idle connection of a caller may be closed.
+    pub idle_timeout: Duration,
+    /// Routes by host, longest prefix first.
+    by_host: HashMap<String, Vec<usize>>,
+}
+
+impl GatewaySettings {
+    /// Creates settings without routes.
+    pub fn new(version: u64) -> Self {
+        Self {
+            version,
+            ..Self::default()
+        }
+    }
+
+    /// Orders the routes for look-ups. Called once after the fields are filled.
+    pub fn index(mut self) -> Self {
+        self.by_host.clear();
+        for (index, route) in self.routes.iter().enumerate() {
+            self.by_host
+                .entry(route.host.clone())
+                .or_default()
+                .push(index);
+        }
+        for indices in self.by_host.values_mut() {
+            let routes = &self.routes;
+            indices.sort_by_key(|i| std::cmp::Reverse(routes[*i].path_prefix.len()));
+        }
+        self
+    }
+
+    /// Route of a request: the longest prefix among the routes of the host.
+    pub fn route(&self, host: &str, path: &str) -> Option<&HostRoute> {
+        let lower;
+        let host = host.split(':').next().unwrap_or_default();
+        let host = if host.bytes().any(|b| b.is_ascii_uppercase()) {
+            lower = host.to_ascii_lowercase();
+            &lower
+        } else {
+            host
+        };
+        let indices = self.by_host.get(host)?;
+        indices
+            .iter()
+            .map(|i| &self.routes[*i])
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Whether requests need keys at all.
+    pub fn has_tenants(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+
+    /// Tenant that holds a key.
+    pub fn tenant_of(&self, key: &str) -> Option<TenantIndex> {
+        self.keys.get(key).copied()
+    }
+
+    /// A tenant by its position.
+    pub fn tenant(&self, index: TenantIndex) -> Option<&GatewayTenant> {
+        self.tenants.get(index.0 as usize)
+    }
+}
+
+impl HostRoute {
+    /// Service for a request, chosen by the weights and a hash of the request.
+    pub fn service_for(&self, hash: u64) -> Option<&str> {
+        let total: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut left = hash % total;
+        for share in &self.services {
+            if left < u64::from(share.weight) {
+                return Some(&share.service);
+            }
+            left -= u64::from(share.weight);
+        }
+        None
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod change;
 mod clock;
 pub mod fleet;
+pub mod gateway;
 mod ids;
 pub mod invariant;
 pub mod lengths;
--- /dev/null
+++ b/crates/gateway/src/addresses.rs
@@ -0,0 +1,66 @@
+//! Answers to callers that ask where to connect.
+
+use ntex::web::types::State;
+use ntex::web::{HttpRequest, HttpResponse};
+
+use crate::edges::{Edges, Wire};
+use crate::server::Context;
+
+/// Addresses in one answer.
+const MAX_ADDRESSES: usize = 64;
+
+/// Addresses of other zones are added while the caller's zone has fewer than this. With a single
+/// address, its loss would leave the caller without any until it asks again.
+const ENOUGH_IN_ZONE: usize = 2;
+
+/// Answers a question for addresses.
+pub(crate) async fn list<E: Edges>(
+    context: State<Context<E>>,
+    request: HttpRequest,
+) -> HttpResponse {
+    let shared = &context.shared;
+    let zone = query_value(request.query_string(), "zone").unwrap_or(&shared.config.zone);
+    let now = shared.now();
+    let membership = shared.membership();
+    let usable = membership.addresses(zone, 0, now);
+    let own_zone = usable.iter().filter(|r| r.zone == zone).count();
+    let wanted = if own_zone >= ENOUGH_IN_ZONE {
+        own_zone
+    } else {
+        own_zone + ENOUGH_IN_ZONE
+    };
+    let addresses: Vec<_> = usable
+        .into_iter()
+        // A vm that is known from the settings alone has not told where callers reach it.
+        .filter(|record| !record.caller_address.is_empty())
+        .filter(|record| record.vm != shared.vm || shared.is_ready())
+        .map(|record| record.caller_address.clone())
+        .take(wanted.clamp(1, MAX_ADDRESSES))
+        .collect();
+    drop(membership);
+    if addresses.is_empty() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    HttpResponse::Ok()
+        .content_type("application/json")
+        .body(E::Wire::addresses(
+            &addresses,
+            shared.config.address_lifetime(),
+        ))
+}
+
+/// Answers whether this vm takes callers.
+pub(crate) async fn readiness<E: Edges>(context: State<Context<E>>) -> HttpResponse {
+    if context.shared.is_ready() {
+        return HttpResponse::Ok().finish();
+    }
+    HttpResponse::ServiceUnavailable().finish()
+}
+
+fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,123 @@
+//! Final answers that the gateway gives itself.
+
+use std::time::Duration;
+
+use jujubebeam_core::gateway::FinalAnswer;
+use ntex::http::header::RETRY_AFTER;
+use ntex::http::{HeaderMap, StatusCode};
+use ntex::web::HttpResponse;
+use strum::{Display, IntoStaticStr};
+
+use crate::edges::HeaderLookup;
+
+/// Time after which a caller of a vm without settings or targets may come back.
+const STARTING_RETRY: Duration = Duration::from_millis(500);
+
+/// Time after which a caller of a leaving vm may come back; another vm serves it at once.
+const LEAVING_RETRY: Duration = Duration::from_millis(20);
+
+/// Why the gateway answers a request itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Reason {
+    /// This vm has no settings or targets yet.
+    Starting,
+    /// This vm leaves.
+    Leaving,
+    /// No route matches host and path.
+    UnknownRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// The body exceeds the limit.
+    BodyTooLarge,
+    /// The body did not arrive in time or broke off.
+    SlowBody,
+    /// No target of the service takes new work.
+    NoTarget,
+    /// The answer would come too late.
+    Overloaded,
+    /// The request crashed several targets.
+    CrashesTargets,
+    /// Targets refused the request or could not be reached.
+    TargetsRefused,
+    /// A target failed and the request may have run.
+    TargetFailed,
+    /// The time of the request is over.
+    TimedOut,
+}
+
+/// An answer of the gateway.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refusal {
+    pub(crate) reason: Reason,
+    pub(crate) status: StatusCode,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// The request has not run and never will.
+    pub(crate) fn not_run(reason: Reason, retry_after: Duration) -> Self {
+        Self {
+            reason,
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            retry_after: Some(retry_after),
+        }
+    }
+
+    pub(crate) fn starting() -> Self {
+        Self::not_run(Reason::Starting, STARTING_RETRY)
+    }
+
+    pub(crate) fn leaving() -> Self {
+        Self::not_run(Reason::Leaving, LEAVING_RETRY)
+    }
+
+    pub(crate) fn status(reason: Reason, status: StatusCode) -> Self {
+        Self {
+            reason,
+            status,
+            retry_after: None,
+        }
+    }
+
+    /// Answer to a request that no target answered.
+    pub(crate) fn from_final(answer: FinalAnswer) -> Self {
+        match answer {
+            FinalAnswer::NotRun { retry_after } => {
+                Self::not_run(Reason::TargetsRefused, retry_after)
+            }
+            FinalAnswer::Failed | FinalAnswer::CutOff => {
+                Self::status(Reason::TargetFailed, StatusCode::BAD_GATEWAY)
+            }
+            FinalAnswer::TimedOut => Self::status(Reason::TimedOut, StatusCode::GATEWAY_TIMEOUT),
+        }
+    }
+
+    /// The HTTP answer.
+    pub(crate) fn response(&self) -> HttpResponse {
+        let mut builder = HttpResponse::build(self.status);
+        if let Some(retry_after) = self.retry_after {
+            builder.header(RETRY_AFTER, format!("{:.2}", retry_after.as_secs_f64()));
+        }
+        builder.content_type("text/plain");
+        builder.body(format!("{}\n", self.reason))
+    }
+}
+
+/// Headers of a caller's request.
+pub(crate) struct CallerHeaders<'a>(pub(crate) &'a HeaderMap);
+
+impl HeaderLookup for CallerHeaders<'_> {
+    fn find(&self, name: &str) -> Option<&str> {
+        self.0.get(name)?.to_str().ok()
+    }
+}
+
+/// Headers of a target's answer.
+pub(crate) struct TargetHeaders<'a>(pub(crate) &'a http::HeaderMap);
+
+impl HeaderLookup for TargetHeaders<'_> {
+    fn find(&self, name: &str) -> Option<&str> {
+        self.0.get(name)?.to_str().ok()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/config.rs
@@ -0,0 +1,123 @@
+//! Settings of a gateway process. See `docs/SETTINGS.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of a gateway process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayConfig {
+    /// Name of the vm.
+    pub vm_name: String,
+    /// Zone by name.
+    pub zone: String,
+    /// Addresses that are listened on.
+    pub listen: ListenAddresses,
+    /// Peer addresses of other vms, with which a starting vm talks first.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Address that receives duties, if there are any.
+    #[serde(default)]
+    pub duties_address: Option<SocketAddr>,
+    /// Duties to perform.
+    #[serde(default)]
+    pub duties: Vec<GatewayDuty>,
+    /// Worker threads that serve callers.
+    #[serde(default = "one")]
+    pub workers: usize,
+    /// Longest time that callers may keep an address.
+    pub address_lifetime_ms: u64,
+    /// Time between SIGTERM and SIGKILL.
+    pub shutdown_grace_ms: u64,
+    /// Part of the requests that may be repeated.
+    pub repeat_ratio: f64,
+    /// Repeats that need no requests, in one window for all vms together.
+    pub repeat_allowance: f64,
+    /// Window of the repeat budget.
+    pub repeat_window_ms: u64,
+    /// Length of a usage window.
+    pub usage_window_ms: u64,
+    /// Time after the end of a usage window at which its report is due.
+    pub usage_due_ms: u64,
+    /// Time for which a missing target is kept after the store has returned from an outage.
+    #[serde(default = "default_reappear_ms")]
+    pub reappear_ms: u64,
+    /// Least severe log level.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+}
+
+/// Addresses that a gateway listens on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenAddresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Questions whether this vm is ready.
+    pub readiness: SocketAddr,
+    /// Questions for addresses.
+    pub addresses: SocketAddr,
+    /// Other vms.
+    pub peers: SocketAddr,
+}
+
+/// A duty that one vm at a time performs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum GatewayDuty {
+    /// Reports usage.
+    #[serde(alias = "metering")]
+    Usage,
+    /// Orders targets.
+    #[serde(alias = "autoscale")]
+    Ordering,
+}
+
+impl GatewayConfig {
+    /// Parses and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Names the field and the remedy.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let config: Self = serde_yaml(text)?;
+        if config.workers == 0 {
+            return Err("workers: no worker could serve; use 1 or more".into());
+        }
+        if config.usage_window_ms == 0 || config.repeat_window_ms == 0 {
+            return Err("usage_window_ms, repeat_window_ms: use a length above 0".into());
+        }
+        if config.shutdown_grace_ms < 2000 {
+            return Err(
+                "shutdown_grace_ms: callers keep addresses for seconds; use 2000 or more".into(),
+            );
+        }
+        Ok(config)
+    }
+
+    /// How long callers may keep an address.
+    pub(crate) fn address_lifetime(&self) -> Duration {
+        Duration::from_millis(self.address_lifetime_ms)
+    }
+}
+
+fn serde_yaml(text: &str) -> Result<GatewayConfig, String> {
+    serde_yaml_ng::from_str(text).map_err(|e| e.to_string())
+}
+
+fn one() -> usize {
+    1
+}
+
+/// Targets of a store that was away write their entries again within about two seconds.
+fn default_reappear_ms() -> u64 {
+    2000
+}
+
+fn default_log_level() -> String {
+    "info".into()
+}
--- /dev/null
+++ b/crates/gateway/src/connection.rs
@@ -0,0 +1,251 @@
+//! Connections to targets.
+//!
+//! The HTTP client of ntex pools connections by address without a limit for each address, and does
+//! not tell whether a request that failed had left the process. Both decide here what may be
+//! repeated, so targets are met through single connections of hyper. See `docs/platform.md`.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use jujubebeam_core::gateway::TargetKey;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+/// Time for a connection to be established. Zones are at most some milliseconds apart; a lost
+/// opening packet is only sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time without acknowledgement after which the kernel gives up a connection. A target behind a
+/// partition sends no reset.
+const USER_TIMEOUT: Duration = Duration::from_millis(2000);
+
+/// Time of silence before the kernel probes whether the target still exists, and between probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Probes without answer after which a connection is given up.
+const PROBES: u32 = 2;
+
+/// Time for which an idle connection is kept if the target names no time.
+const DEFAULT_IDLE: Duration = Duration::from_secs(3);
+
+/// Safety margin to the time that a target names, as it may be closing already.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Longest idle time of a connection that carries a request which may run only once. A request that
+/// meets a closing connection has no known outcome.
+const ONCE_IDLE: Duration = Duration::from_millis(250);
+
+/// Idle connections to one target that are kept.
+const MAX_IDLE: usize = 16;
+
+/// One connection.
+#[derive(Debug)]
+pub(crate) struct TargetConnection {
+    sender: SendRequest<Full<Bytes>>,
+    idle_since: Instant,
+    idle_limit: Duration,
+    open: Rc<OpenCount>,
+}
+
+/// Open connections to one target.
+#[derive(Debug, Default)]
+struct OpenCount(std::cell::Cell<usize>);
+
+impl Drop for TargetConnection {
+    fn drop(&mut self) {
+        self.open.0.set(self.open.0.get().saturating_sub(1));
+    }
+}
+
+/// Why an attempt gave no answer.
+#[derive(Debug)]
+pub(crate) enum SendError {
+    /// No byte of the request has left.
+    NotSent(String),
+    /// The request may have reached the target.
+    NoAnswer(String),
+}
+
+#[derive(Debug, Default)]
+struct TargetPool {
+    idle: Vec<TargetConnection>,
+    open: Rc<OpenCount>,
+}
+
+/// Connections of one worker thread.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConnectionPool(Rc<RefCell<HashMap<TargetKey, TargetPool>>>);
+
+impl ConnectionPool {
+    /// Takes an idle connection or opens one, unless `limit` are open.
+    pub(crate) async fn connect(
+        &self,
+        target: TargetKey,
+        address: &str,
+        runs_once: bool,
+        limit: usize,
+    ) -> Result<TargetConnection, SendError> {
+        if let Some(connection) = self.take_idle(target, runs_once) {
+            return Ok(connection);
+        }
+        let open = {
+            let mut pools = self.0.borrow_mut();
+            let pool = pools.entry(target).or_default();
+            if pool.open.0.get() >= limit {
+                // An idle connection that is too old for this request makes room for a new one.
+                pool.idle.pop();
+            }
+            if pool.open.0.get() >= limit {
+                return Err(SendError::NotSent(format!("{limit} connections are open")));
+            }
+            pool.open.0.set(pool.open.0.get() + 1);
+            pool.open.clone()
+        };
+        let opened = timeout(CONNECT_TIMEOUT, open_connection(address)).await;
+        let sender = match opened {
+            Ok(Ok(sender)) => sender,
+            failed => {
+                open.0.set(open.0.get().saturating_sub(1));
+                let reason = match failed {
+                    Ok(Err(reason)) => reason,
+                    _ => "the connection was not established in time".to_owned(),
+                };
+                return Err(SendError::NotSent(reason));
+            }
+        };
+        Ok(TargetConnection {
+            sender,
+            idle_since: Instant::now(),
+            idle_limit: DEFAULT_IDLE,
+            open,
+        })
+    }
+
+    fn take_idle(&self, target: TargetKey, runs_once: bool) -> Option<TargetConnection> {
+        let mut pools = self.0.borrow_mut();
+        let pool = pools.get_mut(&target)?;
+        pool.idle.retain(|connection| {
+            let idle = connection.idle_since.elapsed();
+            !connection.sender.is_closed() && idle < connection.idle_limit
+        });
+        // The connection that was used last is the least likely to be closing.
+        let connection = pool.idle.pop()?;
+        let is_fresh = connection.idle_since.elapsed() < ONCE_IDLE;
+        if !connection.sender.is_ready() || (runs_once && !is_fresh) {
+            pool.idle.push(connection);
+            return None;
+        }
+        Some(connection)
+    }
+
+    /// Keeps a connection whose last answer was whole and belonged to its request.
+    pub(crate) fn release(&self, target: TargetKey, mut connection: TargetConnection) {
+        let mut pools = self.0.borrow_mut();
+        let pool = pools.entry(target).or_default();
+        if pool.idle.len() < MAX_IDLE && !connection.sender.is_closed() {
+            connection.idle_since = Instant::now();
+            pool.idle.push(connection);
+        }
+    }
+
+    /// Closes the idle connections to a target that broke one: they may have gone silent too.
+    pub(crate) fn close_idle(&self, target: TargetKey) {
+        if let Some(pool) = self.0.borrow_mut().get_mut(&target) {
+            pool.idle.clear();
+        }
+    }
+
+    /// Drops connections that idled too long and the pools of targets that are gone.
+    pub(crate) fn clean(&self, exists: impl Fn(TargetKey) -> bool) {
+        self.0.borrow_mut().retain(|target, pool| {
+            pool.idle.retain(|connection| {
+                !connection.sender.is_closed()
+                    && connection.idle_since.elapsed() < connection.idle_limit
+            });
+            exists(*target) || pool.open.0.get() > 0
+        });
+    }
+}
+
+impl TargetConnection {
+    /// Sends a request and returns the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => {
+                self.idle_limit = idle_limit(&response);
+                Ok(response)
+            }
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let reason = error.into_error().to_string();
+                Err(match unsent {
+                    true => SendError::NotSent(reason),
+                    false => SendError::NoAnswer(reason),
+                })
+            }
+        }
+    }
+}
+
+async fn open_connection(address: &str) -> Result<SendRequest<Full<Bytes>>, String> {
+    let address: SocketAddr = address.parse().map_err(|_| "bad address".to_owned())?;
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|e| e.to_string())?;
+    set_options(&stream);
+    let (sender, connection) = handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| e.to_string())?;
+    ntex::rt::spawn(async move {
+        // How the connection ends is told to the request that uses it.
+        if let Err(error) = connection.await {
+            log::debug!("target: connection to {address} ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
+/// The options only bound how long a dead connection goes unnoticed, so a kernel that refuses them
+/// is no reason to refuse the connection.
+fn set_options(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    let results = [
+        stream.set_nodelay(true),
+        socket.set_tcp_keepalive(&probes),
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT)),
+    ];
+    for error in results.into_iter().filter_map(Result::err) {
+        log::debug!("target: socket option refused: {error}");
+    }
+}
+
+/// Idle time that the target grants, or zero if it closes the connection.
+fn idle_limit(response: &Response<Incoming>) -> Duration {
+    let text = |name| response.headers().get(name).and_then(|v| v.to_str().ok());
+    if text(header::CONNECTION).is_some_and(|v| v.to_ascii_lowercase().contains("close")) {
+        return Duration::ZERO;
+    }
+    let named = text(header::HeaderName::from_static("keep-alive")).and_then(|value| {
+        let (_, rest) = value.split_once("timeout=")?;
+        let digits = rest.split(|c: char| !c.is_ascii_digit()).next()?;
+        digits.parse().ok().map(Duration::from_secs)
+    });
+    named.map_or(DEFAULT_IDLE, |time| time.saturating_sub(IDLE_MARGIN))
+}
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,389 @@
+//! Control tasks: copies of the store, exchange with other vms, membership and clean-up.
+
+use std::time::Duration;
+
+use jujubebeam_core::Machine;
+use jujubebeam_core::gateway::MirrorDelta;
+use jujubebeam_core::membership::{Event, Record, VmState};
+use jujubebeam_core::quarantine::QuarantineEvent;
+use jujubebeam_core::store::{Expected, LeaseId, StoreOp, StoreReply};
+use ntex::time::sleep;
+use serde::{Deserialize, Serialize};
+
+use crate::duties;
+use crate::edges::{Edges, StoreApi, StoredSettings, WatchReply, Wire};
+use crate::journal::LineKind;
+use crate::message::Message;
+use crate::peers;
+use crate::server::Context;
+use crate::state::{vm_id_of, wall_clock};
+
+/// Time between two ticks of the machines.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between two questions to a random vm for news. A change reaches all vms within a few
+/// rounds, well inside the 2 s in which settings must be in force.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// First pause after the store failed, doubled up to the longest.
+const STORE_RETRY_FIRST: Duration = Duration::from_millis(100);
+
+/// Longest pause after the store failed.
+const STORE_RETRY_LONGEST: Duration = Duration::from_millis(500);
+
+/// Time between two looks at the list of vms in the store.
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Lease of the own entry in the list of vms.
+const LISTED_TTL: Duration = Duration::from_secs(10);
+
+/// Keys of the vms' own entries.
+const VMS_PREFIX: &str = "vms/";
+
+/// A vm's own entry in the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct ListedVm {
+    zone: String,
+    caller_address: String,
+    peer_address: String,
+}
+
+/// Which copy a watcher keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Copy {
+    Settings,
+    Targets,
+}
+
+/// Starts all control tasks on the calling thread.
+pub(crate) fn start<E: Edges>(context: &Context<E>) {
+    let seeds = context.shared.config.seeds.iter().map(|address| Record {
+        vm: vm_id_of(*address),
+        peer_address: address.to_string(),
+        ..Record::default()
+    });
+    peers::feed_membership(context, Event::Listed(seeds.collect()));
+    spawn(context, |context| async move {
+        watch(&context, Copy::Settings).await;
+    });
+    spawn(context, |context| async move {
+        watch(&context, Copy::Targets).await;
+    });
+    spawn(context, |context| async move { ask(&context).await });
+    spawn(context, |context| async move { list(&context).await });
+    spawn(context, |context| async move { tick(&context).await });
+    spawn(
+        context,
+        |context| async move { duties::run(&context).await },
+    );
+}
+
+fn spawn<E: Edges, F: Future<Output = ()> + 'static>(
+    context: &Context<E>,
+    task: impl FnOnce(Context<E>) -> F,
+) {
+    ntex::rt::spawn(task(context.clone()));
+}
+
+async fn tick<E: Edges>(context: &Context<E>) {
+    let shared = &context.shared;
+    loop {
+        let now = shared.now();
+        shared.usage().true_time.own_clock(wall_clock(), now);
+        let running = shared.running.load(std::sync::atomic::Ordering::SeqCst);
+        peers::feed_membership(context, Event::Running(running));
+        peers::feed_membership(context, Event::Tick);
+        shared
+            .quarantine()
+            .step(QuarantineEvent::Tick, now, &mut Vec::new());
+        {
+            let mut fleet = shared.fleet();
+            let fleet = &mut *fleet;
+            fleet.catalog.forget_gone(now);
+            fleet.placer.forget_gone(&fleet.catalog);
+        }
+        sleep(TICK_INTERVAL).await;
+    }
+}
+
+/// Keeps a copy of one prefix: lists it once, then follows the changes.
+async fn watch<E: Edges>(context: &Context<E>, copy: Copy) {
+    let shared = &context.shared;
+    let prefix = match copy {
+        Copy::Settings => E::Wire::SETTINGS_PREFIX,
+        Copy::Targets => E::Wire::TARGETS_PREFIX,
+    };
+    let mut pause = STORE_RETRY_FIRST;
+    let mut is_lost = false;
+    let mut must_list = true;
+    loop {
+        let result = match must_list {
+            true => relist(context, copy, prefix).await,
+            false => follow(context, copy, prefix).await,
+        };
+        match result {
+            Ok(whole) => {
+                must_list = !whole;
+                pause = STORE_RETRY_FIRST;
+                if std::mem::take(&mut is_lost) {
+                    shared.journal.write(
+                        LineKind::Dependency,
+                        shared.now(),
+                        format_args!("dependency=store prefix={prefix} state=back"),
+                    );
+                }
+            }
+            Err(reason) => {
+                if !std::mem::replace(&mut is_lost, true) {
+                    shared.journal.write(
+                        LineKind::Dependency,
+                        shared.now(),
+                        format_args!(
+                            "dependency=store prefix={prefix} state=lost cause={reason:?}"
+                        ),
+                    );
+                }
+                // Whatever lapsed during the outage may be written again soon after it.
+                shared.store_returned();
+                sleep(pause).await;
+                pause = (pause * 2).min(STORE_RETRY_LONGEST);
+            }
+        }
+    }
+}
+
+async fn relist<E: Edges>(context: &Context<E>, copy: Copy, prefix: &str) -> Result<bool, String> {
+    let op = StoreOp::List {
+        prefix: prefix.to_owned(),
+    };
+    match context.store.perform(op).await {
+        StoreReply::Values { entries, store } => {
+            {
+                let mut mirrors = context.shared.mirrors();
+                let mirror = match copy {
+                    Copy::Settings => &mut mirrors.settings,
+                    Copy::Targets => &mut mirrors.targets,
+                };
+                mirror.replace(entries, store);
+            }
+            apply(context, copy);
+            Ok(true)
+        }
+        other => Err(format!("{other:?}")),
+    }
+}
+
+async fn follow<E: Edges>(context: &Context<E>, copy: Copy, prefix: &str) -> Result<bool, String> {
+    let complete = {
+        let mirrors = context.shared.mirrors();
+        match copy {
+            Copy::Settings => mirrors.settings.complete(),
+            Copy::Targets => mirrors.targets.complete(),
+        }
+    };
+    let Some(after) = complete else {
+        return Ok(false);
+    };
+    match context.store.watch(prefix, after, WATCH_WAIT).await {
+        WatchReply::Changes { items, at } => {
+            let changed = {
+                let mut mirrors = context.shared.mirrors();
+                let mirror = match copy {
+                    Copy::Settings => &mut mirrors.settings,
+                    Copy::Targets => &mut mirrors.targets,
+                };
+                mirror.advance(items, at)
+            };
+            if changed {
+                apply(context, copy);
+            }
+            Ok(true)
+        }
+        WatchReply::HistoryGone => Ok(false),
+        WatchReply::Failed(reason) => Err(reason),
+    }
+}
+
+/// Takes over what another vm knows.
+pub(crate) fn merge<E: Edges>(
+    context: &Context<E>,
+    settings: Option<MirrorDelta>,
+    targets: Option<MirrorDelta>,
+) {
+    let (settings, targets) = {
+        let mut mirrors = context.shared.mirrors();
+        (
+            settings.map(|delta| mirrors.settings.merge(delta)),
+            targets.map(|delta| mirrors.targets.merge(delta)),
+        )
+    };
+    if settings.is_some() {
+        apply(context, Copy::Settings);
+    }
+    if targets.is_some() {
+        apply(context, Copy::Targets);
+    }
+}
+
+/// Puts a changed copy in force.
+fn apply<E: Edges>(context: &Context<E>, copy: Copy) {
+    match copy {
+        Copy::Settings => apply_settings(context),
+        Copy::Targets => apply_targets(context),
+    }
+}
+
+fn apply_settings<E: Edges>(context: &Context<E>) {
+    let shared = &context.shared;
+    let values: Vec<_> = {
+        let mirrors = shared.mirrors();
+        let items = mirrors.settings.items();
+        items
+            .map(|(key, revision, value)| (key.to_owned(), revision, value.to_vec()))
+            .collect()
+    };
+    for (key, revision, value) in values {
+        let now = shared.now();
+        match E::Wire::settings(&key, &value) {
+            StoredSettings::Settings(settings) => {
+                let (version, routes) = (settings.version, settings.routes.len());
+                if shared.set_settings(*settings) {
+                    shared.journal.write(
+                        LineKind::Settings,
+                        now,
+                        format_args!("version={version} revision={revision} routes={routes}"),
+                    );
+                }
+            }
+            StoredSettings::Unusable(fault) => shared.journal.write(
+                LineKind::Settings,
+                now,
+                format_args!("revision={revision} unusable={fault:?} outcome=kept_old"),
+            ),
+            StoredSettings::Other => {}
+        }
+    }
+}
+
+fn apply_targets<E: Edges>(context: &Context<E>) {
+    let shared = &context.shared;
+    let (complete, entries): (_, Vec<_>) = {
+        let mirrors = shared.mirrors();
+        let items = mirrors.targets.items();
+        let entries = items.filter_map(|(key, at, value)| E::Wire::target(key, value, at));
+        (mirrors.targets.complete(), entries.collect())
+    };
+    let Some(complete) = complete else {
+        return;
+    };
+    let count = entries.len();
+    let hold = shared.reappear_hold();
+    let now = shared.now();
+    {
+        let mut fleet = shared.fleet();
+        fleet.catalog.update(entries, hold, now);
+    }
+    shared.set_has_targets();
+    shared.journal.write(
+        LineKind::Targets,
+        now,
+        format_args!(
+            "targets={count} revision={complete} hold_ms={}",
+            hold.as_millis()
+        ),
+    );
+}
+
+/// Asks a random vm for news again and again.
+async fn ask<E: Edges>(context: &Context<E>) {
+    let shared = &context.shared;
+    let mut round = u64::from(shared.vm.0) ^ shared.incarnation.0;
+    loop {
+        let others = peers::others(context);
+        round = round
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        if !others.is_empty() {
+            let to = others[(round >> 33) as usize % others.len()];
+            let message = {
+                let mirrors = shared.mirrors();
+                Message::Ask {
+                    settings: mirrors.settings.complete(),
+                    targets: mirrors.targets.complete(),
+                }
+            };
+            peers::send(context, to, vec![message]);
+        }
+        sleep(ASK_INTERVAL).await;
+    }
+}
+
+/// Keeps this vm in the list of vms, and reads the list.
+async fn list<E: Edges>(context: &Context<E>) {
+    let mut lease = None;
+    loop {
+        if context.shared.leaving_for().is_some() {
+            return;
+        }
+        lease = stay_listed(context, lease).await;
+        let prefix = VMS_PREFIX.to_owned();
+        if let StoreReply::Values { entries, .. } = context.store.list_stale(&prefix).await {
+            let records: Vec<_> = entries.iter().filter_map(|e| record(&e.value)).collect();
+            peers::feed_membership(context, Event::Listed(records));
+        }
+        sleep(LIST_INTERVAL).await;
+    }
+}
+
+fn record(value: &[u8]) -> Option<Record> {
+    let listed: ListedVm = serde_json::from_slice(value).ok()?;
+    Some(Record {
+        vm: vm_id_of(listed.peer_address.parse().ok()?),
+        zone: listed.zone,
+        caller_address: listed.caller_address,
+        peer_address: listed.peer_address,
+        state: VmState::Live,
+        ..Record::default()
+    })
+}
+
+async fn stay_listed<E: Edges>(context: &Context<E>, lease: Option<LeaseId>) -> Option<LeaseId> {
+    if let Some(lease) = lease {
+        return match context.store.perform(StoreOp::KeepAlive { lease }).await {
+            StoreReply::Expired => None,
+            _ => Some(lease),
+        };
+    }
+    let granted = StoreOp::GrantLease { ttl: LISTED_TTL };
+    let StoreReply::Granted { lease, .. } = context.store.perform(granted).await else {
+        return None;
+    };
+    let shared = &context.shared;
+    let config = &shared.config;
+    let listed = ListedVm {
+        zone: config.zone.clone(),
+        caller_address: config.listen.callers.to_string(),
+        peer_address: config.listen.peers.to_string(),
+    };
+    // Serialization of plain strings does not fail.
+    let value = serde_json::to_vec(&listed).unwrap_or_default();
+    let op = StoreOp::Cas {
+        key: format!("{VMS_PREFIX}{}-{}", config.vm_name, shared.incarnation),
+        expected: Expected::Absent,
+        value,
+        lease: Some(lease),
+        guard: None,
+    };
+    match context.store.perform(op).await {
+        StoreReply::Written { .. } => Some(lease),
+        _ => None,
+    }
+}
+
+/// Leases lapse by themselves; the usage counts of this vm are asked for until the process ends.
+pub(crate) fn hand_over<E: Edges>(context: &Context<E>) {
+    peers::feed_membership(context, Event::HandedOver);
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,753 @@
+//! The path of a request: check, place, send, and pass the answer on.
+
+use std::cell::Cell;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use jujubebeam_core::gateway::{
+    AttemptEnd, FinalAnswer, GatewaySettings, HostRoute, NextStep, PlaceRequest, Placed,
+    RefusedPlace, Repeatability, RequestKind, RequestProgress, Stage, TargetKey,
+};
+use jujubebeam_core::quarantine::{Fingerprint, QuarantineCommand, QuarantineEvent, Verdict};
+use jujubebeam_core::{Machine, RouteId, TargetId};
+use ntex::http::StatusCode;
+use ntex::util::Bytes as NtexBytes;
+use ntex::web::types::{Payload, State};
+use ntex::web::{HttpRequest, HttpResponse};
+use smallvec::SmallVec;
+use tokio::time::{Instant, timeout_at};
+
+use crate::answer::{CallerHeaders, Reason, Refusal, TargetHeaders};
+use crate::connection::{SendError, TargetConnection};
+use crate::edges::{AnswerHead, Edges, Incoming, Outgoing, Wire};
+use crate::journal::LineKind;
+use crate::message::Message;
+use crate::peers;
+use crate::server::Context;
+use crate::state::Shared;
+use crate::stream::{self, EventStream};
+
+/// Time for a request whose caller and route name none.
+const DEFAULT_TIME: Duration = Duration::from_secs(30);
+
+/// Longest answer of a plain service that is read as a whole before it is passed on.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Time after a shutdown signal during which requests are still taken. Callers that kept the
+/// address beyond its lifetime are told to go elsewhere, while what was taken is finished.
+const TAKE_WHILE_LEAVING: Duration = Duration::from_millis(2500);
+
+/// Connections to a target that are left to callers outside the system and to restarts of vms.
+const CONNECTION_SHARE: f64 = 0.8;
+
+/// Headers that concern one connection only, or that are set anew.
+const HOP_HEADERS: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "host",
+];
+
+/// A request that was accepted.
+pub(crate) struct Job {
+    pub(crate) settings: Arc<GatewaySettings>,
+    route: usize,
+    pub(crate) incoming: Incoming,
+    tenant: Option<String>,
+    pub(crate) service: String,
+    method: http::Method,
+    uri: http::Uri,
+    host: String,
+    headers: http::HeaderMap,
+    body: Bytes,
+    fingerprint: Fingerprint,
+    pub(crate) arrived: Instant,
+    /// When the request's time is over.
+    pub(crate) limit: Instant,
+    counted: Cell<bool>,
+}
+
+/// An attempt that is counted at its target until it is dropped.
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+    pub(crate) placed: Placed,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.fleet().placer.finished(&self.placed);
+    }
+}
+
+/// What came of an attempt.
+enum Attempted {
+    /// A whole answer.
+    Whole(WholeAnswer),
+    /// A stream with its first events.
+    Events(Box<EventStream>),
+    /// No answer.
+    Ended(AttemptEnd, String),
+}
+
+/// A whole answer of a target.
+struct WholeAnswer {
+    parts: http::response::Parts,
+    body: Bytes,
+}
+
+/// Handles a request of a caller.
+pub(crate) async fn handle<E: Edges>(
+    context: State<Context<E>>,
+    request: HttpRequest,
+    payload: Payload,
+) -> HttpResponse {
+    let context = (*context).clone();
+    let _running = context.shared_running();
+    let mut response = match accept(&context, &request, payload).await {
+        Ok(job) => run(&context, Rc::new(job)).await,
+        Err((attempt_id, refusal)) => {
+            tell_end(&context.shared, &attempt_id, "-", &refusal, Duration::ZERO);
+            refusal.response()
+        }
+    };
+    if context.shared.leaving_for().is_some() {
+        response
+            .head_mut()
+            .set_connection_type(ntex::http::ConnectionType::Close);
+    }
+    response
+}
+
+type Denied = (String, Refusal);
+
+async fn accept<E: Edges>(
+    context: &Context<E>,
+    request: &HttpRequest,
+    payload: Payload,
+) -> Result<Job, Denied> {
+    let arrived = Instant::now();
+    let shared = &context.shared;
+    let incoming = E::Wire::incoming(&CallerHeaders(request.headers()));
+    let denied = |refusal| (incoming.attempt_id.clone(), refusal);
+    let Some(settings) = shared.settings().filter(|_| shared.knows_targets()) else {
+        return Err(denied(Refusal::starting()));
+    };
+    if shared
+        .leaving_for()
+        .is_some_and(|time| time > TAKE_WHILE_LEAVING)
+    {
+        return Err(denied(Refusal::leaving()));
+    }
+    let host = request.headers().get("host").and_then(|h| h.to_str().ok());
+    let host = host.unwrap_or_default().to_owned();
+    let Some(route) = settings.route(&host, request.uri().path()) else {
+        let refusal = Refusal::status(Reason::UnknownRoute, StatusCode::NOT_FOUND);
+        return Err(denied(refusal));
+    };
+    let tenant = match tenant(&settings, route, incoming.key.as_deref()) {
+        Ok(tenant) => tenant,
+        Err(refusal) => return Err(denied(refusal)),
+    };
+    let time = incoming.deadline.unwrap_or(DEFAULT_TIME);
+    let time = match route.timeout {
+        Duration::ZERO => time,
+        timeout => time.min(timeout),
+    };
+    let limit = arrived + time;
+    let body = match timeout_at(limit, read_body(payload, settings.max_body_bytes)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(refusal)) => return Err(denied(refusal)),
+        Err(_) => {
+            let refusal = Refusal::status(Reason::SlowBody, StatusCode::REQUEST_TIMEOUT);
+            return Err(denied(refusal));
+        }
+    };
+    let mut hasher = DefaultHasher::new();
+    incoming.attempt_id.hash(&mut hasher);
+    let Some(service) = route.service_for(hasher.finish()) else {
+        let refusal = Refusal::not_run(Reason::NoTarget, Duration::from_secs(1));
+        return Err(denied(refusal));
+    };
+    let service = service.to_owned();
+    let route = settings
+        .routes
+        .iter()
+        .position(|r| std::ptr::eq(r, route))
+        .unwrap_or_default();
+    shared.budget().request(&service, shared.now());
+    let uri: http::Uri = request
+        .uri()
+        .path_and_query()
+        .and_then(|p| p.as_str().parse().ok())
+        .unwrap_or_default();
+    Ok(Job {
+        fingerprint: fingerprint(&uri, tenant.as_deref(), &body),
+        headers: forwarded_headers::<E>(request),
+        method: request
+            .method()
+            .as_str()
+            .parse()
+            .unwrap_or(http::Method::GET),
+        settings,
+        route,
+        incoming,
+        tenant,
+        service,
+        uri,
+        host,
+        body,
+        arrived,
+        limit,
+        counted: Cell::new(false),
+    })
+}
+
+fn tenant(
+    settings: &GatewaySettings,
+    route: &HostRoute,
+    key: Option<&str>,
+) -> Result<Option<String>, Refusal> {
+    if !settings.has_tenants() {
+        return Ok(None);
+    }
+    let tenant = key.and_then(|key| settings.tenant_of(key));
+    let name = tenant
+        .and_then(|index| settings.tenant(index))
+        .map(|tenant| tenant.name.clone());
+    if name.is_none() && !route.is_public {
+        return Err(Refusal::status(
+            Reason::UnknownKey,
+            StatusCode::UNAUTHORIZED,
+        ));
+    }
+    Ok(name)
+}
+
+async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, Refusal> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.recv().await {
+        let chunk =
+            chunk.map_err(|_| Refusal::status(Reason::SlowBody, StatusCode::BAD_REQUEST))?;
+        if body.len() + chunk.len() > limit {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(Refusal::status(Reason::BodyTooLarge, status));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn fingerprint(uri: &http::Uri, tenant: Option<&str>, body: &[u8]) -> Fingerprint {
+    let mut text = Vec::with_capacity(body.len() + 64);
+    text.extend_from_slice(uri.path().as_bytes());
+    text.push(0);
+    text.extend_from_slice(tenant.unwrap_or_default().as_bytes());
+    text.push(0);
+    text.extend_from_slice(body);
+    Fingerprint::new(RouteId(0), &text)
+}
+
+fn forwarded_headers<E: Edges>(request: &HttpRequest) -> http::HeaderMap {
+    let listed = request.headers().get("connection");
+    let listed = listed.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let listed: SmallVec<[String; 4]> = listed
+        .split(',')
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut headers = http::HeaderMap::with_capacity(16);
+    for (name, value) in request.headers().iter() {
+        let name = name.as_str();
+        if HOP_HEADERS.contains(&name)
+            || E::Wire::is_reserved(name)
+            || listed.iter().any(|l| l == name)
+        {
+            continue;
+        }
+        let name = http::HeaderName::from_bytes(name.as_bytes());
+        let value = http::HeaderValue::from_bytes(value.as_bytes());
+        // Both were parsed by the server, so neither fails.
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
+impl Job {
+    pub(crate) fn route(&self) -> &HostRoute {
+        &self.settings.routes[self.route]
+    }
+
+    pub(crate) fn repeatability(&self) -> Repeatability {
+        let route = self.route();
+        match route.kind {
+            RequestKind::Idempotent => Repeatability::Idempotent,
+            RequestKind::Stream if route.resumable => Repeatability::Resumable,
+            RequestKind::Stream | RequestKind::Once => Repeatability::Once,
+        }
+    }
+
+    fn stage(&self) -> Option<Stage> {
+        let service = self.settings.services.get(&self.service)?;
+        service.engine.map(|_| Stage::Decode)
+    }
+
+    fn request<E: Edges>(&self, placed: &Placed, last_event: Option<u64>) -> Request<Full<Bytes>> {
+        let outgoing = Outgoing {
+            time_left: self.limit.saturating_duration_since(Instant::now()),
+            target_id: &placed.target.id,
+            tenant: self.tenant.as_deref(),
+            priority: None,
+            last_event,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        headers.extend(self.headers.clone());
+        if let Ok(host) = http::HeaderValue::from_str(&self.host) {
+            headers.insert(header::HOST, host);
+        }
+        for (name, value) in E::Wire::outgoing(&outgoing) {
+            if let Ok(value) = http::HeaderValue::from_str(&value) {
+                headers.insert(http::HeaderName::from_static(name), value);
+            }
+        }
+        request
+    }
+
+    /// Counts the request for usage, once.
+    pub(crate) fn began(&self, shared: &Shared) {
+        if self.counted.replace(true) {
+            return;
+        }
+        if let Some(tenant) = &self.tenant {
+            let now = shared.now();
+            let mut usage = shared.usage();
+            let true_time = usage.true_time.now(now);
+            usage.windows.count(tenant, true_time);
+        }
+    }
+}
+
+async fn run<E: Edges>(context: &Context<E>, job: Rc<Job>) -> HttpResponse {
+    let shared = &context.shared;
+    let mut left = LeftGuard {
+        shared: shared.clone(),
+        job: job.clone(),
+        is_done: false,
+    };
+    let response = match timeout_at(job.limit, answer(context, &job)).await {
+        Ok(response) => response,
+        Err(_) => {
+            // An attempt may be at a target, so nothing can be promised.
+            let refusal = Refusal::from_final(FinalAnswer::TimedOut);
+            tell_end(
+                shared,
+                &job.incoming.attempt_id,
+                &job.route().name,
+                &refusal,
+                job.arrived.elapsed(),
+            );
+            refusal.response()
+        }
+    };
+    left.is_done = true;
+    response
+}
+
+/// Tells that a caller left before its answer, when it is dropped too early.
+struct LeftGuard {
+    shared: Arc<Shared>,
+    job: Rc<Job>,
+    is_done: bool,
+}
+
+impl Drop for LeftGuard {
+    fn drop(&mut self) {
+        if !self.is_done {
+            let (id, age) = (&self.job.incoming.attempt_id, self.job.arrived.elapsed());
+            self.shared.journal.write(
+                LineKind::CallerLeft,
+                self.shared.now(),
+                format_args!("request={id} after_ms={}", age.as_millis()),
+            );
+        }
+    }
+}
+
+async fn answer<E: Edges>(context: &Context<E>, job: &Rc<Job>) -> HttpResponse {
+    let shared = &context.shared;
+    let mut progress = RequestProgress::new(job.repeatability(), job.route().max_attempts);
+    let mut excluded: SmallVec<[TargetKey; 4]> = SmallVec::new();
+    let mut kept: Option<WholeAnswer> = None;
+    let refuse = |refusal: Refusal| {
+        let id = &job.incoming.attempt_id;
+        let age = job.arrived.elapsed();
+        tell_end(shared, id, &job.route().name, &refusal, age);
+        refusal.response()
+    };
+    if let Verdict::Refuse { retry_after } =
+        shared.quarantine().verdict(job.fingerprint, shared.now())
+    {
+        return refuse(Refusal::not_run(Reason::CrashesTargets, retry_after));
+    }
+    loop {
+        let in_flight = match place(context, job, &excluded) {
+            Ok(in_flight) => in_flight,
+            Err(refused) => {
+                if let Some(answer) = kept {
+                    return pass_on(context, job, answer);
+                }
+                if !progress.has_not_run() {
+                    return refuse(Refusal::from_final(FinalAnswer::Failed));
+                }
+                return refuse(refused);
+            }
+        };
+        let key = in_flight.placed.key;
+        let (end, reason) = match attempt(context, job, in_flight, None).await {
+            Attempted::Whole(answer) if !is_worth_repeating(&answer, job) => {
+                return pass_on(context, job, answer);
+            }
+            Attempted::Whole(answer) => {
+                kept = Some(answer);
+                (AttemptEnd::Broken, "server error".to_owned())
+            }
+            Attempted::Events(events) => return stream::respond(context, job.clone(), *events),
+            Attempted::Ended(end, reason) => (end, reason),
+        };
+        tell_attempt(shared, job, key, end, &reason);
+        excluded.push(key);
+        let step = progress.ended(end);
+        let allowed = match step {
+            NextStep::TryAgain { spends: true } => {
+                let vms = shared.vms();
+                shared.budget().take(&job.service, vms, shared.now())
+            }
+            NextStep::TryAgain { spends: false } => true,
+            NextStep::Answer(_) => false,
+        };
+        if allowed {
+            continue;
+        }
+        if let Some(answer) = kept {
+            return pass_on(context, job, answer);
+        }
+        let last = match step {
+            NextStep::Answer(answer) => answer,
+            NextStep::TryAgain { .. } => progress.give_up(end),
+        };
+        return refuse(Refusal::from_final(last));
+    }
+}
+
+/// A server error of an idempotent request may be a success elsewhere.
+fn is_worth_repeating(answer: &WholeAnswer, job: &Job) -> bool {
+    answer.parts.status.is_server_error() && job.repeatability() == Repeatability::Idempotent
+}
+
+/// Chooses a target for the next attempt.
+pub(crate) fn place<E: Edges>(
+    context: &Context<E>,
+    job: &Job,
+    excluded: &[TargetKey],
+) -> Result<InFlight, Refusal> {
+    let shared = &context.shared;
+    let now = shared.now();
+    let request = PlaceRequest {
+        service: &job.service,
+        stage: job.stage(),
+        parts: &job.incoming.prompt_parts,
+        excluded,
+        time_left: job.limit.saturating_duration_since(Instant::now()),
+    };
+    let mut fleet = shared.fleet();
+    let fleet = &mut *fleet;
+    let placed =
+        fleet
+            .placer
+            .place(&fleet.catalog, &request, now)
+            .map_err(|refused| match refused {
+                RefusedPlace::NoTarget => {
+                    Refusal::not_run(Reason::NoTarget, Duration::from_millis(500))
+                }
+                RefusedPlace::Overloaded { retry_after } => {
+                    Refusal::not_run(Reason::Overloaded, retry_after)
+                }
+            })?;
+    Ok(InFlight {
+        shared: shared.clone(),
+        placed,
+    })
+}
+
+async fn attempt<E: Edges>(
+    context: &Context<E>,
+    job: &Rc<Job>,
+    in_flight: InFlight,
+    last_event: Option<u64>,
+) -> Attempted {
+    let (response, connection) = match send(context, job, &in_flight, last_event).await {
+        Ok(sent) => sent,
+        Err((end, reason)) => return Attempted::Ended(end, reason),
+    };
+    if stream::is_events(&response) {
+        return match stream::open(context, job, in_flight, response, connection).await {
+            Ok(events) => Attempted::Events(Box::new(events)),
+            Err(reason) => Attempted::Ended(AttemptEnd::Broken, reason),
+        };
+    }
+    whole(context, job, &in_flight, response, connection).await
+}
+
+/// Sends a request and checks the head of the answer.
+pub(crate) async fn send<E: Edges>(
+    context: &Context<E>,
+    job: &Job,
+    in_flight: &InFlight,
+    last_event: Option<u64>,
+) -> Result<(Response<hyper::body::Incoming>, TargetConnection), (AttemptEnd, String)> {
+    let shared = &context.shared;
+    let placed = &in_flight.placed;
+    let runs_once = job.repeatability() != Repeatability::Idempotent;
+    let limit = connection_limit(shared, job);
+    let target = &placed.target;
+    let connected = context
+        .pool
+        .connect(placed.key, &target.address, runs_once, limit)
+        .await;
+    let mut connection = match connected {
+        Ok(connection) => connection,
+        Err(error) => return Err(send_failed(context, placed, error)),
+    };
+    let response = match connection.send(job.request::<E>(placed, last_event)).await {
+        Ok(response) => response,
+        Err(error) => {
+            let (end, reason) = send_failed(context, placed, error);
+            if end == AttemptEnd::Broken {
+                crashed(context, job, placed);
+            }
+            return Err((end, reason));
+        }
+    };
+    let head = E::Wire::answer(
+        response.status().as_u16(),
+        &TargetHeaders(response.headers()),
+    );
+    check_head(context, job, placed, &head, response, connection).await
+}
+
+async fn check_head<E: Edges>(
+    context: &Context<E>,
+    job: &Job,
+    placed: &Placed,
+    head: &AnswerHead,
+    response: Response<hyper::body::Incoming>,
+    connection: TargetConnection,
+) -> Result<(Response<hyper::body::Incoming>, TargetConnection), (AttemptEnd, String)> {
+    let shared = &context.shared;
+    let now = shared.now();
+    let echoed = head.attempt_id.as_deref();
+    if head.not_run && echoed.is_none_or(|id| id == job.incoming.attempt_id) {
+        shared.fleet().placer.refused(placed, head.load, now);
+        let status = response.status();
+        if response.into_body().collect().await.is_ok() {
+            context.pool.release(placed.key, connection);
+        }
+        return Err((AttemptEnd::NotRun, format!("refused with {status}")));
+    }
+    if echoed != Some(job.incoming.attempt_id.as_str()) {
+        // The answer belongs to another request; its connection cannot be trusted any more.
+        shared.fleet().placer.failed(placed, now);
+        return Err((AttemptEnd::Broken, "answer of another request".into()));
+    }
+    let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
+    let unsigned_success = response.status().is_success() && !head.is_signed;
+    if encoded || unsigned_success {
+        shared.fleet().placer.failed(placed, now);
+        return Err((AttemptEnd::Broken, "answer is not the target's own".into()));
+    }
+    shared.fleet().placer.first_byte(placed, head.load, now);
+    Ok((response, connection))
+}
+
+fn send_failed<E: Edges>(
+    context: &Context<E>,
+    placed: &Placed,
+    error: SendError,
+) -> (AttemptEnd, String) {
+    let shared = &context.shared;
+    let now = shared.now();
+    match error {
+        SendError::NotSent(reason) => {
+            shared.fleet().placer.unreachable(placed, now);
+            (AttemptEnd::NotSent, reason)
+        }
+        SendError::NoAnswer(reason) => {
+            context.pool.close_idle(placed.key);
+            shared.fleet().placer.failed(placed, now);
+            (AttemptEnd::Broken, reason)
+        }
+    }
+}
+
+/// Share of this vm in the connections that a target accepts.
+fn connection_limit(shared: &Shared, job: &Job) -> usize {
+    let service = job.settings.services.get(&job.service);
+    let all = service.map_or(0, |s| s.max_connections);
+    if all == 0 {
+        return usize::MAX;
+    }
+    let vms = shared.vms() * shared.config.workers;
+    let share = f64::from(all) * CONNECTION_SHARE / vms.max(1) as f64;
+    (share as usize).max(2)
+}
+
+/// A connection broke under the request; if the target crashed, the request may be the cause.
+pub(crate) fn crashed<E: Edges>(context: &Context<E>, job: &Job, placed: &Placed) {
+    let mut hasher = DefaultHasher::new();
+    (&placed.target.id, placed.target.born_ms).hash(&mut hasher);
+    let event = QuarantineEvent::Crashed {
+        fingerprint: job.fingerprint,
+        target: TargetId(hasher.finish()),
+    };
+    feed_quarantine(context, event);
+}
+
+/// The request gave a whole answer.
+pub(crate) fn is_sound<E: Edges>(context: &Context<E>, job: &Job) {
+    let fingerprint = job.fingerprint;
+    let known = {
+        let quarantine = context.shared.quarantine();
+        quarantine.verdict(fingerprint, context.shared.now()) != Verdict::Clear
+    };
+    if known {
+        feed_quarantine(context, QuarantineEvent::Whole { fingerprint });
+    }
+}
+
+fn feed_quarantine<E: Edges>(context: &Context<E>, event: QuarantineEvent) {
+    let mut commands = Vec::new();
+    let now = context.shared.now();
+    context.shared.quarantine().step(event, now, &mut commands);
+    for QuarantineCommand::Tell(message) in commands {
+        peers::tell_all(context, &Message::Quarantine(message));
+    }
+}
+
+async fn whole<E: Edges>(
+    context: &Context<E>,
+    job: &Rc<Job>,
+    in_flight: &InFlight,
+    response: Response<hyper::body::Incoming>,
+    connection: TargetConnection,
+) -> Attempted {
+    let shared = &context.shared;
+    job.began(shared);
+    let placed = &in_flight.placed;
+    let (parts, body) = response.into_parts();
+    let body = match http_body_util::Limited::new(body, MAX_ANSWER_BYTES)
+        .collect()
+        .await
+    {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            shared.fleet().placer.failed(placed, shared.now());
+            context.pool.close_idle(placed.key);
+            return Attempted::Ended(AttemptEnd::Broken, format!("answer broke off: {error}"));
+        }
+    };
+    context.pool.release(placed.key, connection);
+    // These statuses promise that the request has not run, which only the target's own statement
+    // can prove.
+    if matches!(parts.status.as_u16(), 408 | 421 | 429 | 503) {
+        let reason = format!("status {} without a statement", parts.status);
+        return Attempted::Ended(AttemptEnd::Broken, reason);
+    }
+    is_sound(context, job);
+    Attempted::Whole(WholeAnswer { parts, body })
+}
+
+fn pass_on<E: Edges>(context: &Context<E>, job: &Job, answer: WholeAnswer) -> HttpResponse {
+    tell_answer(&context.shared, job, answer.parts.status.as_u16());
+    let mut builder = head(&answer.parts);
+    builder.body(NtexBytes::copy_from_slice(&answer.body))
+}
+
+/// Head of an answer with the target's status and headers.
+pub(crate) fn head(parts: &http::response::Parts) -> ntex::web::HttpResponseBuilder {
+    let status = StatusCode::from_u16(parts.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    for (name, value) in &parts.headers {
+        if HOP_HEADERS.contains(&name.as_str()) {
+            continue;
+        }
+        let name = ntex::http::header::HeaderName::from_bytes(name.as_str().as_bytes());
+        let value = ntex::http::header::HeaderValue::from_bytes(value.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            builder.header(name, value);
+        }
+    }
+    builder
+}
+
+pub(crate) fn tell_answer(shared: &Shared, job: &Job, status: u16) {
+    shared.journal.write(
+        LineKind::Answered,
+        shared.now(),
+        format_args!(
+            "request={} route={} version={} status={status} after_ms={}",
+            job.incoming.attempt_id,
+            job.route().name,
+            job.settings.version,
+            job.arrived.elapsed().as_millis()
+        ),
+    );
+}
+
+pub(crate) fn tell_end(shared: &Shared, id: &str, route: &str, refusal: &Refusal, age: Duration) {
+    shared.journal.write(
+        LineKind::Ended,
+        shared.now(),
+        format_args!(
+            "request={id} route={route} reason={} status={} retry_after_ms={} after_ms={}",
+            refusal.reason,
+            refusal.status.as_u16(),
+            refusal.retry_after.map_or(0, |t| t.as_millis()),
+            age.as_millis()
+        ),
+    );
+}
+
+pub(crate) fn tell_attempt(
+    shared: &Shared,
+    job: &Job,
+    key: TargetKey,
+    end: AttemptEnd,
+    reason: &str,
+) {
+    let target = shared.fleet().catalog.get(key).map(|t| t.id.clone());
+    shared.journal.write(
+        LineKind::Attempt,
+        shared.now(),
+        format_args!(
+            "request={} target={} end={end:?} cause={reason:?} after_ms={}",
+            job.incoming.attempt_id,
+            target.as_deref().unwrap_or("gone"),
+            job.arrived.elapsed().as_millis()
+        ),
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,27 @@
+//! The gateway: forwards opaque requests byte for byte between callers and targets.
+//!
+//! Decisions stand in [`jujubebeam_core::gateway`]. What the outside says on the wire comes in
+//! through the traits of [`Edges`], which `platform/` implements. See `docs/platform.md`.
+
+mod addresses;
+mod answer;
+mod config;
+mod connection;
+mod control;
+mod duties;
+mod edges;
+mod events;
+mod forward;
+mod journal;
+mod message;
+mod peers;
+mod server;
+mod state;
+mod stream;
+
+pub use config::{GatewayConfig, GatewayDuty, ListenAddresses};
+pub use edges::{
+    AnswerHead, DutiesApi, DutyResult, Edges, HeaderLookup, Incoming, Outgoing, OutgoingHeaders,
+    StoreApi, StoredSettings, WatchReply, Wire,
+};
+pub use server::run;
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,210 @@
+//! Starts the listeners and the control tasks, and shuts them down.
+
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use jujubebeam_core::membership::Event;
+use jujubebeam_http::{HttpClientConfig, build_client};
+use jujubebeam_peer::{MESSAGES_PATH, PeerClient, PeerClientConfig};
+use ntex::SharedCfg;
+use ntex::client::Client;
+use ntex::http::{HttpServiceConfig, KeepAlive};
+use ntex::time::{Seconds, sleep};
+use ntex::web::types::PayloadConfig;
+use ntex::web::{self, App};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::config::GatewayConfig;
+use crate::connection::ConnectionPool;
+use crate::control;
+use crate::edges::{Edges, StoreApi, Wire};
+use crate::peers;
+use crate::state::Shared;
+use crate::{addresses, forward};
+
+/// Time after which an idle connection of a caller is closed. It exceeds the longest time for which
+/// callers are told that they may idle (15 s), so a request does not meet a closing connection.
+const CALLER_IDLE: Seconds = Seconds(40);
+
+/// Time in which the header of a request must arrive, after which the caller gets 408.
+const HEADER_TIMEOUT: Seconds = Seconds(4);
+
+/// Largest header of a request.
+const MAX_HEADER_BYTES: usize = 64 * 1024;
+
+/// Largest body of messages between vms.
+const ENVELOPE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Time between two clean-ups of idle connections.
+const CLEAN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Part of the grace period that is left for closing listeners.
+const CLOSING_TIME: Duration = Duration::from_millis(600);
+
+/// What a thread needs to act. Clones share the clients.
+pub(crate) struct Context<E: Edges> {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) peers: PeerClient,
+    pub(crate) http: Client,
+    pub(crate) store: Rc<E::Store>,
+}
+
+impl<E: Edges> Clone for Context<E> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+            pool: self.pool.clone(),
+            peers: self.peers.clone(),
+            http: self.http.clone(),
+            store: self.store.clone(),
+        }
+    }
+}
+
+/// Counts a request as running until it is dropped.
+pub(crate) struct Running(Arc<Shared>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl<E: Edges> Context<E> {
+    async fn new(shared: Arc<Shared>) -> Self {
+        let http = build_client(HttpClientConfig::default()).await;
+        Self {
+            pool: ConnectionPool::default(),
+            peers: PeerClient::new(http.clone(), PeerClientConfig::default()),
+            store: Rc::new(E::Store::new(
+                http.clone(),
+                &shared.config.store.to_string(),
+            )),
+            http,
+            shared,
+        }
+    }
+
+    pub(crate) fn shared_running(&self) -> Running {
+        self.shared.running.fetch_add(1, Ordering::SeqCst);
+        Running(self.shared.clone())
+    }
+}
+
+/// Runs the gateway until it is told to stop.
+///
+/// # Errors
+///
+/// Returns the error of a listener that cannot be bound.
+pub fn run<E: Edges>(config: GatewayConfig) -> io::Result<()> {
+    let shared = Arc::new(Shared::new(config));
+    let system = ntex::rt::System::build()
+        .name("jujubebeam")
+        .build(ntex::rt::DefaultRuntime);
+    system.block_on(serve::<E>(shared))
+}
+
+async fn serve<E: Edges>(shared: Arc<Shared>) -> io::Result<()> {
+    let listen = shared.config.listen.clone();
+    log::info!(
+        "event=start vm={} name={} zone={} callers={} peers={}",
+        shared.vm,
+        shared.config.vm_name,
+        shared.config.zone,
+        listen.callers,
+        listen.peers
+    );
+    let context = Context::<E>::new(shared.clone()).await;
+    control::start(&context);
+
+    let state = shared.clone();
+    let control_server = web::server(async move || {
+        App::new()
+            .state(Context::<E>::new(state.clone()).await)
+            .state(PayloadConfig::new(ENVELOPE_LIMIT_BYTES))
+            .route(
+                E::Wire::READINESS_PATH,
+                web::get().to(addresses::readiness::<E>),
+            )
+            .route(E::Wire::ADDRESSES_PATH, web::get().to(addresses::list::<E>))
+            .route(MESSAGES_PATH, web::post().to(peers::receive::<E>))
+    })
+    .workers(1)
+    .disable_signals()
+    .bind(listen.peers)?
+    .bind(listen.readiness)?
+    .bind(listen.addresses)?
+    .run();
+
+    let state = shared.clone();
+    let http = HttpServiceConfig::new()
+        .set_keepalive(KeepAlive::Timeout(CALLER_IDLE))
+        .set_client_timeout(HEADER_TIMEOUT)
+        .set_max_buf_size(MAX_HEADER_BYTES);
+    let caller_server = web::server(async move || {
+        let context = Context::<E>::new(state.clone()).await;
+        clean_connections(&context);
+        App::new()
+            .state(context)
+            .service(web::resource("/{path}*").to(forward::handle::<E>))
+    })
+    .config(SharedCfg::new("callers").add(http))
+    .workers(shared.config.workers)
+    .disable_signals()
+    .bind(listen.callers)?
+    .run();
+
+    drain_on_signal(&context).await?;
+    caller_server.stop(true).await;
+    control_server.stop(false).await;
+    log::info!("event=stop vm={}", shared.vm);
+    Ok(())
+}
+
+fn clean_connections<E: Edges>(context: &Context<E>) {
+    let context = context.clone();
+    ntex::rt::spawn(async move {
+        loop {
+            sleep(CLEAN_INTERVAL).await;
+            let existing: std::collections::HashSet<_> = {
+                let fleet = context.shared.fleet();
+                fleet.catalog.iter().map(|(key, _)| key).collect()
+            };
+            context.pool.clean(|key| existing.contains(&key));
+        }
+    });
+}
+
+/// Waits for SIGTERM, and then until nothing runs any more or the grace period is nearly over.
+async fn drain_on_signal<E: Edges>(context: &Context<E>) -> io::Result<()> {
+    let shared = &context.shared;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            // Settings of a process name its addresses, which do not change while it runs.
+            _ = hang_up.recv() => log::info!("event=reload vm={}", shared.vm),
+        }
+    }
+    log::info!("event=leaving vm={}", shared.vm);
+    shared.set_leaving();
+    peers::feed_membership(context, Event::Leave { linger: true });
+    let grace = Duration::from_millis(shared.config.shutdown_grace_ms);
+    tokio::select! {
+        () = shared.drained.notified() => {}
+        () = sleep(grace.saturating_sub(CLOSING_TIME)) => {}
+    }
+    log::info!(
+        "event=drained vm={} running={}",
+        shared.vm,
+        shared.running.load(Ordering::SeqCst)
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,266 @@
+//! State that the listeners and the control tasks share.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use jujubebeam_core::authority::{Authority, AuthorityConfig, Holder};
+use jujubebeam_core::gateway::{
+    ArrivalBudget, ArrivalBudgetConfig, Catalog, GatewaySettings, Mirror, PlacementConfig, Placer,
+    TrueTime, UsageWindows,
+};
+use jujubebeam_core::membership::{Membership, MembershipConfig, Record};
+use jujubebeam_core::quarantine::{Quarantine, QuarantineConfig};
+use jujubebeam_core::{Clock, Incarnation, SystemClock, VmId};
+use tokio::sync::Notify;
+
+use crate::config::GatewayConfig;
+use crate::journal::Journal;
+
+/// Targets and what is known of their load.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) catalog: Catalog,
+    pub(crate) placer: Placer,
+}
+
+/// Copies of the store.
+#[derive(Debug, Default)]
+pub(crate) struct Mirrors {
+    pub(crate) settings: Mirror,
+    pub(crate) targets: Mirror,
+}
+
+/// Counts of one usage window length, and true time.
+#[derive(Debug)]
+pub(crate) struct UsageState {
+    pub(crate) windows: UsageWindows,
+    pub(crate) true_time: TrueTime,
+}
+
+/// State of the process. Each part has its own lock, and no lock is held across an await.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) config: GatewayConfig,
+    pub(crate) vm: VmId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: SystemClock,
+    pub(crate) journal: Journal,
+    settings: RwLock<Option<Arc<GatewaySettings>>>,
+    fleet: Mutex<Fleet>,
+    mirrors: Mutex<Mirrors>,
+    budget: Mutex<ArrivalBudget>,
+    usage: Mutex<UsageState>,
+    membership: Mutex<Membership>,
+    authority: Mutex<Authority<()>>,
+    quarantine: Mutex<Quarantine>,
+    /// Monotonic time in milliseconds at which this vm began to leave, or 0.
+    leaving_since_ms: AtomicU64,
+    /// Until when a missing target counts as not yet back, in monotonic milliseconds.
+    reappear_until_ms: AtomicU64,
+    /// Whether this vm's targets copy has ever been complete.
+    has_targets: AtomicBool,
+    /// Requests that run.
+    pub(crate) running: AtomicUsize,
+    /// Signalled when the process may end.
+    pub(crate) drained: Notify,
+}
+
+impl Shared {
+    pub(crate) fn new(config: GatewayConfig) -> Self {
+        let incarnation = Incarnation(wall_clock().as_micros() as u64);
+        let vm = vm_id(&config);
+        let record = Record {
+            vm,
+            zone: config.zone.clone(),
+            caller_address: config.listen.callers.to_string(),
+            peer_address: config.listen.peers.to_string(),
+            incarnation,
+            ..Record::default()
+        };
+        let lifetime = config.address_lifetime();
+        let grace = Duration::from_millis(config.shutdown_grace_ms);
+        let membership = MembershipConfig {
+            seed: incarnation.0,
+            address_lifetime: lifetime,
+            // Some callers keep an address three times as long; the rest of the grace period is for
+            // what still runs.
+            linger: (lifetime * 2).min(grace.mul_f64(0.75).saturating_sub(lifetime)),
+            ..MembershipConfig::new(record)
+        };
+        let placement = PlacementConfig {
+            zone: config.zone.clone(),
+            ..PlacementConfig::default()
+        };
+        let budget = ArrivalBudgetConfig {
+            window: Duration::from_millis(config.repeat_window_ms),
+            ratio: config.repeat_ratio,
+            allowance: config.repeat_allowance,
+            ..ArrivalBudgetConfig::default()
+        };
+        let authority = AuthorityConfig {
+            seed: incarnation.0 ^ u64::from(vm.0),
+            ..AuthorityConfig::default()
+        };
+        let usage_window = Duration::from_millis(config.usage_window_ms);
+        Self {
+            vm,
+            incarnation,
+            clock: SystemClock::new(),
+            journal: Journal::default(),
+            settings: RwLock::new(None),
+            fleet: Mutex::new(Fleet {
+                catalog: Catalog::default(),
+                placer: Placer::new(placement),
+            }),
+            mirrors: Mutex::default(),
+            budget: Mutex::new(ArrivalBudget::new(budget)),
+            usage: Mutex::new(UsageState {
+                windows: UsageWindows::new(usage_window),
+                true_time: TrueTime::default(),
+            }),
+            membership: Mutex::new(Membership::new(membership)),
+            authority: Mutex::new(Authority::new(Holder { vm, incarnation }, authority)),
+            quarantine: Mutex::new(Quarantine::new(QuarantineConfig {
+                // The third crash is the last that a request may cause.
+                refuse_at: 3,
+                ..QuarantineConfig::default()
+            })),
+            leaving_since_ms: AtomicU64::new(0),
+            reappear_until_ms: AtomicU64::new(0),
+            has_targets: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+            drained: Notify::new(),
+            config,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Settings in force, or `None` before the first.
+    pub(crate) fn settings(&self) -> Option<Arc<GatewaySettings>> {
+        self.settings
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts settings in force unless they are older than the present ones. Returns whether it did.
+    pub(crate) fn set_settings(&self, settings: GatewaySettings) -> bool {
+        let mut present = self
+            .settings
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        if present
+            .as_ref()
+            .is_some_and(|p| p.version >= settings.version)
+        {
+            return false;
+        }
+        *present = Some(Arc::new(settings));
+        true
+    }
+
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    pub(crate) fn mirrors(&self) -> MutexGuard<'_, Mirrors> {
+        lock(&self.mirrors)
+    }
+
+    pub(crate) fn budget(&self) -> MutexGuard<'_, ArrivalBudget> {
+        lock(&self.budget)
+    }
+
+    pub(crate) fn usage(&self) -> MutexGuard<'_, UsageState> {
+        lock(&self.usage)
+    }
+
+    pub(crate) fn membership(&self) -> MutexGuard<'_, Membership> {
+        lock(&self.membership)
+    }
+
+    pub(crate) fn authority(&self) -> MutexGuard<'_, Authority<()>> {
+        lock(&self.authority)
+    }
+
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        lock(&self.quarantine)
+    }
+
+    /// Number of vms that can be reached, this one included.
+    pub(crate) fn vms(&self) -> usize {
+        let now = self.now();
+        self.membership().live(now).len()
+    }
+
+    /// Time since this vm began to leave.
+    pub(crate) fn leaving_for(&self) -> Option<Duration> {
+        let since = self.leaving_since_ms.load(Ordering::Relaxed);
+        let since = (since > 0).then(|| Duration::from_millis(since))?;
+        Some(self.now().saturating_sub(since))
+    }
+
+    pub(crate) fn set_leaving(&self) {
+        let now_ms = (self.now().as_millis() as u64).max(1);
+        self.leaving_since_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Whether this vm can serve: settings and targets are known and it does not leave.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.leaving_for().is_none() && self.settings().is_some() && self.knows_targets()
+    }
+
+    /// Whether a whole list of targets has arrived.
+    pub(crate) fn knows_targets(&self) -> bool {
+        self.has_targets.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_has_targets(&self) {
+        self.has_targets.store(true, Ordering::Relaxed);
+    }
+
+    /// Time until which a missing target may come back.
+    pub(crate) fn reappear_hold(&self) -> Duration {
+        let until = Duration::from_millis(self.reappear_until_ms.load(Ordering::Relaxed));
+        until.saturating_sub(self.now())
+    }
+
+    /// The store is back after an outage.
+    pub(crate) fn store_returned(&self) {
+        let until = self.now() + Duration::from_millis(self.config.reappear_ms);
+        self.reappear_until_ms
+            .store(until.as_millis() as u64, Ordering::Relaxed);
+    }
+}
+
+/// The vm's number is its peer address, which no other live vm shares. Vms that share an address
+/// (on one machine, in tests) differ by port.
+fn vm_id(config: &GatewayConfig) -> VmId {
+    vm_id_of(config.listen.peers)
+}
+
+/// Number of the vm at a peer address.
+pub(crate) fn vm_id_of(address: std::net::SocketAddr) -> VmId {
+    let std::net::IpAddr::V4(ip) = address.ip() else {
+        return VmId(u32::from(address.port()));
+    };
+    if ip.is_loopback() {
+        return VmId(u32::from(address.port()));
+    }
+    VmId(u32::from(ip))
+}
+
+/// Wall clock as time since 1970.
+pub(crate) fn wall_clock() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,298 @@
+//! Streams of events: passed on as they arrive, and resumed elsewhere where the route allows it.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http::{Response, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use jujubebeam_core::gateway::{AttemptEnd, NextStep, RequestProgress, TargetKey};
+use ntex::util::Bytes as NtexBytes;
+use ntex::web::HttpResponse;
+use smallvec::SmallVec;
+use tokio::time::timeout_at;
+
+use crate::connection::TargetConnection;
+use crate::edges::Edges;
+use crate::events::EventSplitter;
+use crate::forward::{self, InFlight, Job};
+use crate::journal::LineKind;
+use crate::server::{Context, Running};
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// A stream of which the first events have arrived.
+pub(crate) struct EventStream {
+    parts: http::response::Parts,
+    first: Bytes,
+    source: Source,
+}
+
+/// The target's side of a stream.
+struct Source {
+    body: Incoming,
+    connection: TargetConnection,
+    in_flight: InFlight,
+    splitter: EventSplitter,
+}
+
+/// Whether an answer is a stream of events.
+pub(crate) fn is_events(response: &Response<Incoming>) -> bool {
+    let content_type = response.headers().get(header::CONTENT_TYPE);
+    response.status().is_success()
+        && content_type.is_some_and(|v| v.as_bytes().starts_with(EVENT_STREAM.as_bytes()))
+}
+
+/// Waits for the first whole event.
+pub(crate) async fn open<E: Edges>(
+    context: &Context<E>,
+    job: &Job,
+    in_flight: InFlight,
+    response: Response<Incoming>,
+    connection: TargetConnection,
+) -> Result<EventStream, String> {
+    let (parts, body) = response.into_parts();
+    let mut source = Source {
+        body,
+        connection,
+        in_flight,
+        splitter: EventSplitter::default(),
+    };
+    match source.next().await {
+        Piece::Events(first) => {
+            job.began(&context.shared);
+            Ok(EventStream {
+                parts,
+                first,
+                source,
+            })
+        }
+        Piece::End => Err("stream ended without an event".into()),
+        Piece::Broken(reason) => {
+            source.failed(context, job);
+            Err(reason)
+        }
+    }
+}
+
+enum Piece {
+    Events(Bytes),
+    End,
+    Broken(String),
+}
+
+impl Source {
+    async fn next(&mut self) -> Piece {
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    if let Some(events) = self.splitter.push(&data) {
+                        return Piece::Events(events);
+                    }
+                }
+                Some(Err(error)) => return Piece::Broken(error.to_string()),
+                None if self.splitter.is_at_boundary() => return Piece::End,
+                None => return Piece::Broken("ended within an event".into()),
+            }
+        }
+    }
+
+    fn failed<E: Edges>(&self, context: &Context<E>, job: &Job) {
+        let placed = &self.in_flight.placed;
+        let shared = &context.shared;
+        shared.fleet().placer.failed(placed, shared.now());
+        context.pool.close_idle(placed.key);
+        forward::crashed(context, job, placed);
+    }
+}
+
+/// A stream on its way to the caller.
+struct Pump<E: Edges> {
+    context: Context<E>,
+    job: Rc<Job>,
+    /// First events, until they are passed on.
+    first: Option<Bytes>,
+    source: Option<Source>,
+    progress: RequestProgress,
+    excluded: SmallVec<[TargetKey; 4]>,
+    last_id: Option<u64>,
+    is_done: bool,
+    /// A shutdown waits for the stream.
+    _running: Running,
+}
+
+impl<E: Edges> Drop for Pump<E> {
+    fn drop(&mut self) {
+        if !self.is_done {
+            let shared = &self.context.shared;
+            shared.journal.write(
+                LineKind::CallerLeft,
+                shared.now(),
+                format_args!(
+                    "request={} midway=true after_ms={}",
+                    self.job.incoming.attempt_id,
+                    self.job.arrived.elapsed().as_millis()
+                ),
+            );
+        }
+    }
+}
+
+/// Answers a caller with a stream.
+pub(crate) fn respond<E: Edges>(
+    context: &Context<E>,
+    job: Rc<Job>,
+    events: EventStream,
+) -> HttpResponse {
+    let mut builder = forward::head(&events.parts);
+    let route = job.route();
+    let progress = RequestProgress::new(job.repeatability(), route.max_attempts);
+    let pump = Pump {
+        context: context.clone(),
+        first: Some(events.first),
+        last_id: events.source.splitter.last_id(),
+        source: Some(events.source),
+        progress,
+        excluded: SmallVec::new(),
+        is_done: false,
+        _running: context.shared_running(),
+        job,
+    };
+    builder.streaming(Box::pin(unfold(pump, |mut pump| async move {
+        let item = pump.next().await?;
+        Some((item, pump))
+    })))
+}
+
+/// Ends the connection without the end of the body, so that the answer does not look whole.
+#[derive(Debug)]
+pub(crate) struct CutOff;
+
+impl std::fmt::Display for CutOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the stream broke off")
+    }
+}
+
+impl std::error::Error for CutOff {}
+
+impl<E: Edges> Pump<E> {
+    async fn next(&mut self) -> Option<Result<NtexBytes, CutOff>> {
+        if self.is_done {
+            return None;
+        }
+        if let Some(first) = self.first.take() {
+            return Some(Ok(NtexBytes::copy_from_slice(&first)));
+        }
+        loop {
+            let limit = self.job.limit;
+            let Some(source) = &mut self.source else {
+                return self.cut("no target continues the stream");
+            };
+            match timeout_at(limit, source.next()).await {
+                Err(_) => return self.cut("the request's time is over"),
+                Ok(Piece::Events(events)) => {
+                    self.last_id = source.splitter.last_id().or(self.last_id);
+                    return Some(Ok(NtexBytes::copy_from_slice(&events)));
+                }
+                Ok(Piece::End) => {
+                    self.finished();
+                    return None;
+                }
+                Ok(Piece::Broken(reason)) => {
+                    if let Err(reason) = self.resume(&reason).await {
+                        return self.cut(&reason);
+                    }
+                }
+            }
+        }
+    }
+
+    fn finished(&mut self) {
+        self.is_done = true;
+        if let Some(source) = self.source.take() {
+            let key = source.in_flight.placed.key;
+            self.context.pool.release(key, source.connection);
+        }
+        forward::is_sound(&self.context, &self.job);
+        forward::tell_answer(&self.context.shared, &self.job, 200);
+    }
+
+    /// Continues at another target after the last whole event.
+    async fn resume(&mut self, reason: &str) -> Result<(), String> {
+        let Some(mut source) = self.source.take() else {
+            return Err("no target continues the stream".into());
+        };
+        let shared = self.context.shared.clone();
+        let key = source.in_flight.placed.key;
+        source.failed(&self.context, &self.job);
+        let end = AttemptEnd::BrokenMidway;
+        forward::tell_attempt(&shared, &self.job, key, end, reason);
+        // What came of an event that is not whole was not passed on.
+        source.splitter.take_rest();
+        drop(source);
+        let mut end = end;
+        self.excluded.push(key);
+        loop {
+            let NextStep::TryAgain { spends } = self.progress.ended(end) else {
+                return Err("the stream cannot be repeated".into());
+            };
+            if self.last_id.is_none() {
+                return Err("the events have no ids".into());
+            }
+            let vms = shared.vms();
+            if spends && !shared.budget().take(&self.job.service, vms, shared.now()) {
+                return Err("the repeat budget is used up".into());
+            }
+            let in_flight = forward::place(&self.context, &self.job, &self.excluded)
+                .map_err(|refusal| refusal.reason.to_string())?;
+            let key = in_flight.placed.key;
+            let sent = timeout_at(
+                self.job.limit,
+                forward::send(&self.context, &self.job, &in_flight, self.last_id),
+            );
+            match sent.await {
+                Err(_) => return Err("the request's time is over".into()),
+                Ok(Ok((response, connection))) if is_events(&response) => {
+                    self.source = Some(Source {
+                        body: response.into_body(),
+                        connection,
+                        in_flight,
+                        splitter: EventSplitter::default(),
+                    });
+                    return Ok(());
+                }
+                Ok(Ok((response, _))) => {
+                    return Err(format!("resumed with status {}", response.status()));
+                }
+                Ok(Err((attempt_end, reason))) => {
+                    forward::tell_attempt(&shared, &self.job, key, attempt_end, &reason);
+                    self.excluded.push(key);
+                    end = attempt_end;
+                }
+            }
+        }
+    }
+
+    fn cut(&mut self, reason: &str) -> Option<Result<NtexBytes, CutOff>> {
+        self.is_done = true;
+        self.source = None;
+        let shared = &self.context.shared;
+        shared.journal.write(
+            LineKind::Ended,
+            shared.now(),
+            format_args!(
+                "request={} route={} reason=cut_off cause={reason:?} last_event={} after_ms={}",
+                self.job.incoming.attempt_id,
+                self.job.route().name,
+                self.last_id.map_or(-1, |id| id as i64),
+                self.job.arrived.elapsed().as_millis()
+            ),
+        );
+        Some(Err(CutOff))
+    }
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -11,8 +11,9 @@
 
 use crate::CallError;
 
-/// Longest part of an error body that is kept for messages.
-const ERROR_BODY_BYTES: usize = 300;
+/// Longest part of an error body that is kept. A store describes the present state of the compared
+/// keys in the body of a conflict.
+const ERROR_BODY_BYTES: usize = 16 * 1024;
 
 /// Settings of an outgoing HTTP client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/jujubebeam/src/cli.rs
+++ b/crates/jujubebeam/src/cli.rs
@@ -6,6 +6,7 @@
 mod client;
 mod explain;
 mod failure;
+mod gateway;
 mod key;
 mod limit;
 mod output;
@@ -30,6 +31,7 @@
 
 COMMANDS:
     run          Runs the daemon.
+    gateway      Forwards opaque requests on the users' platform.
     check        Checks a settings file.
     workspace    Lists, shows, creates, changes and deletes workspaces.
     key          Creates, withdraws and hashes keys.
@@ -71,13 +73,19 @@
 }
 
 /// All commands.
-const COMMANDS: [Command; 9] = [
+const COMMANDS: [Command; 10] = [
     Command {
         name: "run",
         help: run::HELP,
         shared: Shared::None,
         run: run::run,
     },
+    Command {
+        name: "gateway",
+        help: gateway::HELP,
+        shared: Shared::None,
+        run: gateway::run,
+    },
     Command {
         name: "check",
         help: check::HELP,
--- /dev/null
+++ b/crates/jujubebeam/src/cli/gateway.rs
@@ -0,0 +1,41 @@
+//! `jujubebeam gateway`
+
+use error_stack::Report;
+use jujubebeam_gateway::GatewayConfig;
+use jujubebeam_platform::Platform;
+use pico_args::Arguments;
+
+use super::arguments::{bad_input, finish, required};
+use super::failure::{CliResult, Failure};
+use super::run::start_log;
+
+pub(crate) const HELP: &str = "\
+Forwards opaque requests on the users' platform until SIGTERM, then drains.
+
+USAGE:
+    jujubebeam gateway --config FILE
+
+OPTIONS:
+    --config FILE    Settings file of the process; see docs/SETTINGS.md.
+    --check          Checks the file and exits.
+";
+
+/// Runs the command.
+pub(crate) fn run(mut args: Arguments) -> CliResult {
+    let check_only = args.contains("--check");
+    let path: String = required(&mut args, "--config")?;
+    finish(args)?;
+    let text = std::fs::read_to_string(&path).map_err(|e| {
+        bad_input(format!(
+            "{path} cannot be read: {e}; check name and permissions"
+        ))
+    })?;
+    let config = GatewayConfig::parse(&text).map_err(|e| bad_input(format!("{path}: {e}")))?;
+    if check_only {
+        println!("{path}: no faults");
+        return Ok(());
+    }
+    start_log(&config.log_level)?;
+    jujubebeam_gateway::run::<Platform>(config)
+        .map_err(|e| Report::new(Failure::Failed).attach(e.to_string()))
+}
--- a/crates/jujubebeam/src/cli/run.rs
+++ b/crates/jujubebeam/src/cli/run.rs
@@ -39,11 +39,11 @@
     server::run(config).map_err(|e| Report::new(Failure::Failed).attach(e.to_string()))
 }
 
-fn start_log(level: &str) -> CliResult {
+pub(crate) fn start_log(level: &str) -> CliResult {
     // Libraries log their own start-up at `info`, which would bury the daemon's lines.
-    let filter = format!("warn,jujubebeam={level}");
+    let filter = format!("warn,jujubebeam={level},jujubebeam_gateway={level}");
     flexi_logger::Logger::try_with_str(&filter)
-        .and_then(|logger| logger.format(format_line).start())
+        .and_then(|logger| logger.log_to_stdout().format(format_line).start())
         .map(|_| ())
         .map_err(|e| bad_input(format!("log.level {level:?}: {e}")))
 }
