--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -4,25 +4,31 @@
 //! A request of this kind is forwarded byte for byte; the system reads no body. See
 //! `docs/platform.md`.
 
+mod admission;
 mod budget;
 mod catalog;
 mod mirror;
 mod outcome;
 mod placement;
+mod roles;
+mod scale;
 mod settings;
 mod true_time;
 mod usage_window;
 
+pub use admission::Admission;
 pub use budget::{ArrivalBudget, ArrivalBudgetConfig};
 pub use catalog::{Catalog, CatalogTarget, Stage, TargetKey, TargetPhase};
 pub use mirror::{Mirror, MirrorDelta, MirrorItem};
 pub use outcome::{AttemptEnd, FinalAnswer, NextStep, Repeatability, RequestProgress};
 pub use placement::{
-    LoadReport, PlaceRequest, Placed, PlacementConfig, Placer, PromptPart, RefusedPlace,
+    EnginePath, LoadReport, PlaceRequest, Placed, PlacementConfig, Placer, PromptPart, RefusedPlace,
 };
+pub use roles::{RolePolicy, stage_changes};
+pub use scale::{CountOrder, ScalePolicy, Scaler};
 pub use settings::{
-    EngineLimits, GatewaySettings, GatewayTenant, HostRoute, RequestKind, Service, ServiceShare,
-    TenantIndex,
+    EngineLimits, GatewaySettings, GatewayTenant, HostRoute, RequestKind, ScalingLimits, Service,
+    ServiceShare, TenantIndex,
 };
 pub use true_time::TrueTime;
 pub use usage_window::{UsageWindows, WindowCounts};
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
 
 /// Key of one run of a target. A restart, a new id or a new address gives a new key.
@@ -10,7 +11,19 @@
 pub struct TargetKey(pub u32);
 
 /// What part of a request's work an engine does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Display,
+    EnumString,
+    IntoStaticStr,
+    Serialize,
+    Deserialize,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Stage {
     /// Computes prompts and hands the KV cache over.
@@ -46,6 +59,8 @@
     pub phase: TargetPhase,
     /// Stage of an engine, or `None` for a plain service.
     pub stage: Option<Stage>,
+    /// Whether the platform may take the target away at short notice.
+    pub is_reclaimable: bool,
     /// Start of the run in milliseconds since 1970, or 0 if unknown.
     pub born_ms: u64,
 }
@@ -67,6 +82,8 @@
     targets: HashMap<TargetKey, CatalogTarget>,
     /// Targets whose entries are missing, with the time at which that counts.
     missing: HashMap<TargetKey, Duration>,
+    /// When a target last came or went.
+    changed_at: Duration,
 }
 
 impl Catalog {
@@ -77,6 +94,9 @@
         for entry in entries {
             let known = self.by_id.get(&entry.id).copied();
             let same = known.filter(|key| self.targets[key].is_same_run(&entry));
+            if same.is_none() {
+                self.changed_at = now;
+            }
             let key = same.unwrap_or_else(|| self.new_key());
             if let Some(old) = known.filter(|old| *old != key) {
                 self.targets.remove(&old);
@@ -103,6 +123,7 @@
             .collect();
         for key in gone {
             self.missing.remove(&key);
+            self.changed_at = now;
             if let Some(target) = self.targets.remove(&key)
                 && self.by_id.get(&target.id) == Some(&key)
             {
@@ -116,6 +137,11 @@
         self.targets.get(&key)
     }
 
+    /// A target by id.
+    pub fn by_id(&self, id: &str) -> Option<&CatalogTarget> {
+        self.targets.get(self.by_id.get(id)?)
+    }
+
     /// All targets, in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &CatalogTarget)> {
         self.by_id
@@ -123,6 +149,11 @@
             .filter_map(|key| Some((*key, self.targets.get(key)?)))
     }
 
+    /// When a target last came or went.
+    pub fn changed_at(&self) -> Duration {
+        self.changed_at
+    }
+
     fn new_key(&mut self) -> TargetKey {
         self.next_key += 1;
         TargetKey(self.next_key)
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -4,6 +4,9 @@
 //! hashing), so the part stays in one engine's memory. A request leaves its home when the
 //! predicted time to the first token is shorter elsewhere, which bounds the load of a popular
 //! home. The alternatives are weighed in `docs/platform.md`.
+//!
+//! A prompt may be computed by an engine of the prefill stage, which is twice as fast, and handed
+//! over to an engine of the decode stage. A short prompt is not worth the hand-over.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -25,10 +28,15 @@
 pub struct PlacementConfig {
     /// Zone of this vm.
     pub zone: String,
-    /// Prompt tokens that an engine computes in a millisecond.
+    /// Prompt tokens that an engine of the prefill stage computes in a millisecond.
     pub prefill_tokens_per_ms: f64,
-    /// Part of that speed at which an engine of the decode stage computes prompts.
-    pub decode_prefill_part: f64,
+    /// Prompt tokens that an engine of the decode stage computes in a millisecond.
+    pub decode_prefill_tokens_per_ms: f64,
+    /// Time that it takes to hand a computed prompt over to another engine, in milliseconds.
+    pub hand_over_ms: f64,
+    /// Factor on the time that a decode engine takes for a prompt when the two ways are compared. Its
+    /// chunks delay every stream that the engine generates.
+    pub decode_prompt_cost: f64,
     /// Predicted extra time of a target in another zone, in milliseconds.
     pub other_zone_cost_ms: f64,
     /// Predicted time that a request waiting at an engine takes, in milliseconds.
@@ -43,15 +51,35 @@
     pub eject_longest: Duration,
     /// Part of recent attempts that must have failed for a target to be avoided.
     pub failing_part: f64,
+    /// Shortest time after which a refused caller may come back.
+    pub retry_shortest: Duration,
+    /// Longest time after which a refused caller may come back.
+    pub retry_longest: Duration,
+}
+
+impl PlacementConfig {
+    /// Prompt tokens that an engine of a stage computes in a millisecond.
+    fn rate(&self, stage: Option<Stage>) -> f64 {
+        match stage {
+            Some(Stage::Prefill) => self.prefill_tokens_per_ms,
+            _ => self.decode_prefill_tokens_per_ms,
+        }
+    }
 }
 
 impl Default for PlacementConfig {
     fn default() -> Self {
         Self {
             zone: String::new(),
-            // The engines' sheet: 514 prompt tokens in a millisecond, half of it while decoding.
-            prefill_tokens_per_ms: 514.0,
-            decode_prefill_part: 0.5,
+            // The sheet says 514 tokens in a millisecond, and half of it in chunks of a quarter the
+            // size while decoding. Each chunk also takes a step of 0.529 ms, and attention to 9,000
+            // tokens 0.00073 ms a token, which gives these effective rates.
+            prefill_tokens_per_ms: 340.0,
+            decode_prefill_tokens_per_ms: 156.0,
+            // One more exchange (two ways between zones) and 1.5 GB over the link.
+            hand_over_ms: 4.0,
+            // A chunk makes a token take 2.5 ms rather than 0.5 ms.
+            decode_prompt_cost: 4.0,
             other_zone_cost_ms: 1.5,
             engine_waiting_ms: 8.0,
             service_waiting_ms: 15.0,
@@ -60,6 +88,9 @@
             eject_first: Duration::from_millis(400),
             eject_longest: Duration::from_secs(4),
             failing_part: 0.25,
+            // Bursts last seconds; callers that return sooner meet the same queue.
+            retry_shortest: Duration::from_millis(400),
+            retry_longest: Duration::from_secs(2),
         }
     }
 }
@@ -95,8 +126,9 @@
     pub parts: &'a [PromptPart],
     /// Targets that failed this request.
     pub excluded: &'a [TargetKey],
-    /// Time in which the first byte of the answer must arrive.
-    pub time_left: Duration,
+    /// Longest predicted wait for others with which the request is still sent. A longer one would
+    /// only make the requests behind it late too.
+    pub longest_wait: Duration,
 }
 
 /// A chosen target.
@@ -110,10 +142,21 @@
     pub uncached_tokens: u64,
     /// Predicted time to the first byte, in milliseconds.
     pub predicted_ms: f64,
+    /// When the target was chosen.
+    pub placed_at: Duration,
     /// Rank of the target among the homes of the prompt; 0 is the home itself.
     pub home_rank: usize,
 }
 
+/// How an engine service runs a request.
+#[derive(Clone, Debug)]
+pub enum EnginePath {
+    /// One engine computes the prompt and generates the answer.
+    Direct(Placed),
+    /// This engine computes the prompt; another one is chosen for the answer afterwards.
+    Split(Placed),
+}
+
 /// Why no target was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusedPlace {
@@ -132,7 +175,12 @@
     in_flight: u32,
     /// Prompt tokens of those whose first token has not arrived.
     pending_tokens: u64,
+    /// Averages of both over the last moments. Other vms get similar requests, so they probably
+    /// have as many there.
+    average: Average,
     report: Option<(LoadReport, Duration)>,
+    /// Time that the last answer took beyond its own work, in milliseconds, and when it came.
+    delay: Option<(f64, Duration)>,
     /// When the oldest request was sent since the target last answered anything.
     unanswered_since: Option<Duration>,
     /// Weighted part of recent attempts that failed.
@@ -141,12 +189,61 @@
     avoided_until: Duration,
 }
 
+/// Exponentially weighted averages over time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Average {
+    in_flight: f64,
+    pending_tokens: f64,
+    at: Duration,
+}
+
+/// Time over which the load of other vms is averaged. It spans several requests of one vm at one
+/// target and is short against a burst.
+const AVERAGE_TIME: Duration = Duration::from_millis(150);
+
+impl Average {
+    fn advance(&mut self, in_flight: u32, pending_tokens: u64, now: Duration) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        let part = 1.0 - (-passed / AVERAGE_TIME.as_secs_f64()).exp();
+        self.in_flight += (f64::from(in_flight) - self.in_flight) * part;
+        self.pending_tokens += (pending_tokens as f64 - self.pending_tokens) * part;
+        self.at = now;
+    }
+}
+
 impl TargetState {
+    /// Accounts for the time up to `now`; called before the counts change.
+    fn advance(&mut self, now: Duration) {
+        self.average
+            .advance(self.in_flight, self.pending_tokens, now);
+    }
+
+    /// Expected requests and prompt tokens of all vms at the target.
+    fn expected(&self, vms: usize, now: Duration) -> (f64, f64) {
+        let mut average = self.average;
+        average.advance(self.in_flight, self.pending_tokens, now);
+        let others = vms.saturating_sub(1) as f64;
+        (
+            f64::from(self.in_flight) + others * average.in_flight,
+            self.pending_tokens as f64 + others * average.pending_tokens,
+        )
+    }
+
     fn report(&self, now: Duration) -> Option<LoadReport> {
         let (report, at) = self.report?;
         (now < at + REPORT_LIFETIME).then_some(report)
     }
 
+    /// Wait that the last answers met. It fades, because a refusal of all requests would otherwise
+    /// never learn that the queue has emptied.
+    fn delay_ms(&self, now: Duration) -> f64 {
+        let Some((delay_ms, at)) = self.delay else {
+            return 0.0;
+        };
+        let age = now.saturating_sub(at).as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
+        delay_ms * (1.0 - age).max(0.0)
+    }
+
     fn is_silent(&self, after: Duration, now: Duration) -> bool {
         self.unanswered_since.is_some_and(|at| now > at + after)
     }
@@ -157,6 +254,8 @@
 pub struct Placer {
     config: PlacementConfig,
     states: HashMap<TargetKey, TargetState>,
+    /// Vms that send to the same targets, this one included.
+    vms: usize,
     /// Targets that got a part lately, newest last.
     recent: HashMap<u64, SmallVec<[TargetKey; 3]>>,
 }
@@ -167,6 +266,8 @@
     target: &'a CatalogTarget,
     uncached_tokens: u64,
     predicted_ms: f64,
+    /// Part of it that the request waits for others.
+    wait_ms: f64,
     home_rank: usize,
 }
 
@@ -176,10 +277,16 @@
         Self {
             config,
             states: HashMap::new(),
+            vms: 1,
             recent: HashMap::new(),
         }
     }
 
+    /// Sets the number of vms that send to the same targets, this one included.
+    pub fn set_vms(&mut self, vms: usize) {
+        self.vms = vms.max(1);
+    }
+
     /// Chooses a target and counts the request there until [`Placer::finished`].
     ///
     /// # Errors
@@ -196,26 +303,79 @@
             .into_iter()
             .min_by(|a, b| a.predicted_ms.total_cmp(&b.predicted_ms))
             .ok_or(RefusedPlace::NoTarget)?;
-        let left_ms = request.time_left.as_secs_f64() * 1000.0;
-        if best.predicted_ms > left_ms {
-            let late_ms = (best.predicted_ms - left_ms).clamp(50.0, 2000.0);
-            return Err(RefusedPlace::Overloaded {
-                retry_after: Duration::from_secs_f64(late_ms / 1000.0),
-            });
-        }
+        self.admit(request, best.wait_ms)?;
         let placed = Placed {
             key: best.key,
             target: best.target.clone(),
             uncached_tokens: best.uncached_tokens,
             predicted_ms: best.predicted_ms,
+            placed_at: now,
             home_rank: best.home_rank,
         };
         self.started(&placed, request.parts, now);
         Ok(placed)
     }
 
+    /// Chooses between one engine for the whole request, and an engine for its prompt alone.
+    ///
+    /// # Errors
+    ///
+    /// Says why no engine can take the request; nothing is counted then.
+    pub fn place_engine(
+        &mut self,
+        catalog: &Catalog,
+        request: &PlaceRequest<'_>,
+        now: Duration,
+    ) -> Result<EnginePath, RefusedPlace> {
+        let prefill = PlaceRequest {
+            stage: Some(Stage::Prefill),
+            ..request.clone()
+        };
+        // A decode engine that is handed a prompt has none to compute.
+        let handed_over = PlaceRequest {
+            stage: Some(Stage::Decode),
+            parts: &[],
+            ..request.clone()
+        };
+        let best = |request: &PlaceRequest<'_>| {
+            let candidates = self.candidates(catalog, request, now);
+            let times = candidates.iter().map(|c| (c.predicted_ms, c.wait_ms));
+            times.min_by(|a, b| a.0.total_cmp(&b.0))
+        };
+        let (direct_ms, direct_wait_ms) = best(request).ok_or(RefusedPlace::NoTarget)?;
+        let all_tokens: u64 = request.parts.iter().map(|part| part.tokens).sum();
+        let decode_ms = all_tokens as f64 / self.config.decode_prefill_tokens_per_ms;
+        let direct_cost_ms = direct_ms * self.config.decode_prompt_cost;
+        let direct_cost_ms = if decode_ms < self.config.hand_over_ms {
+            direct_ms
+        } else {
+            direct_cost_ms
+        };
+        let split_ms = best(&prefill).zip(best(&handed_over));
+        let split_wait_ms = split_ms.map_or(f64::MAX, |(prompt, rest)| prompt.1 + rest.1);
+        let split_ms = split_ms.map(|(prompt, rest)| prompt.0 + rest.0 + self.config.hand_over_ms);
+        self.admit(request, split_wait_ms.min(direct_wait_ms))?;
+        if split_ms.is_some_and(|split_ms| split_ms < direct_cost_ms) {
+            return self.place(catalog, &prefill, now).map(EnginePath::Split);
+        }
+        self.place(catalog, request, now).map(EnginePath::Direct)
+    }
+
+    /// Refuses a request that would wait too long for others. Its own work does not count, so a long
+    /// prompt is served as often as a short one.
+    fn admit(&self, request: &PlaceRequest<'_>, wait_ms: f64) -> Result<(), RefusedPlace> {
+        let longest_ms = request.longest_wait.as_secs_f64() * 1000.0;
+        if wait_ms <= longest_ms {
+            return Ok(());
+        }
+        let excess = Duration::from_secs_f64((wait_ms - longest_ms) / 1000.0);
+        let retry_after = excess.clamp(self.config.retry_shortest, self.config.retry_longest);
+        Err(RefusedPlace::Overloaded { retry_after })
+    }
+
     fn started(&mut self, placed: &Placed, parts: &[PromptPart], now: Duration) {
         let state = self.states.entry(placed.key).or_default();
+        state.advance(now);
         state.in_flight += 1;
         state.pending_tokens += placed.uncached_tokens;
         state.unanswered_since.get_or_insert(now);
@@ -238,8 +398,12 @@
         let Some(state) = self.states.get_mut(&placed.key) else {
             return;
         };
+        state.advance(now);
         state.pending_tokens = state.pending_tokens.saturating_sub(placed.uncached_tokens);
         state.unanswered_since = None;
+        let took_ms = now.saturating_sub(placed.placed_at).as_secs_f64() * 1000.0;
+        let own_ms = placed.uncached_tokens as f64 / self.config.rate(placed.target.stage);
+        state.delay = Some(((took_ms - own_ms).max(0.0), now));
         state.failing *= 0.8;
         if state.failing < self.config.failing_part / 2.0 {
             state.ejections = 0;
@@ -270,6 +434,7 @@
         let Some(state) = self.states.get_mut(&placed.key) else {
             return;
         };
+        state.advance(now);
         state.pending_tokens = state.pending_tokens.saturating_sub(placed.uncached_tokens);
         state.failing = state.failing * 0.8 + 0.2;
         if state.failing < config.failing_part || now < state.avoided_until {
@@ -290,8 +455,9 @@
     }
 
     /// The attempt ended, however it ended.
-    pub fn finished(&mut self, placed: &Placed) {
+    pub fn finished(&mut self, placed: &Placed, now: Duration) {
         if let Some(state) = self.states.get_mut(&placed.key) {
+            state.advance(now);
             state.in_flight = state.in_flight.saturating_sub(1);
             if state.in_flight == 0 {
                 state.pending_tokens = 0;
@@ -354,35 +520,42 @@
         let uncached_tokens = self.uncached(key, home_rank, request.parts);
         let state = self.states.get(&key);
         let report = state.and_then(|s| s.report(now)).unwrap_or_default();
-        let in_flight = state.map_or(0, |s| s.in_flight);
+        let (in_flight, pending) = state.map_or((0.0, 0.0), |s| s.expected(self.vms, now));
         let waiting_ms = match target.stage {
             Some(_) => config.engine_waiting_ms,
             None => config.service_waiting_ms,
         };
-        let mut predicted_ms = f64::from(report.waiting) * waiting_ms;
+        let rate = config.rate(target.stage);
+        let pending_ms = pending / rate;
+        let delay_ms = state.map_or(0.0, |s| s.delay_ms(now));
+        // Three views of the same queue: what the target said, what this vm and probably the others
+        // have there, and how long the last answer took.
+        let mut queue_ms = f64::from(report.waiting) * waiting_ms;
+        if target.stage == Some(Stage::Prefill) {
+            // Whatever runs there is a prompt ahead of this one.
+            queue_ms += f64::from(report.running) * waiting_ms;
+        }
+        let mut predicted_ms = queue_ms.max(pending_ms);
         match target.stage {
-            Some(stage) => {
-                let part = match stage {
-                    Stage::Prefill => 1.0,
-                    Stage::Decode => config.decode_prefill_part,
-                };
-                let rate = config.prefill_tokens_per_ms * part;
-                let pending = state.map_or(0, |s| s.pending_tokens);
-                predicted_ms += (pending + uncached_tokens) as f64 / rate;
+            Some(_) => {
+                predicted_ms = predicted_ms.max(delay_ms) + uncached_tokens as f64 / rate;
             }
             None => {
                 let slots = f64::from(target.slots.max(1));
-                let busy = f64::from(in_flight.max(report.running));
+                let busy = in_flight.max(f64::from(report.running));
                 predicted_ms += waiting_ms * busy / slots;
             }
         }
         // Beyond its slots a target queues whatever it gets.
-        let over = (in_flight.max(report.running) + 1).saturating_sub(target.slots.max(1));
-        predicted_ms += f64::from(over) * waiting_ms;
+        let busy = in_flight.max(f64::from(report.running));
+        let over = (busy + 1.0 - f64::from(target.slots.max(1))).max(0.0);
+        predicted_ms += over * waiting_ms;
         if target.zone != config.zone {
             predicted_ms += config.other_zone_cost_ms;
         }
+        let own_ms = target.stage.map_or(0.0, |_| uncached_tokens as f64 / rate);
         Candidate {
+            wait_ms: predicted_ms - own_ms,
             key,
             target,
             uncached_tokens,
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -68,6 +68,19 @@
     pub memory_tokens: u64,
 }
 
+/// Limits within which targets can be ordered.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ScalingLimits {
+    /// Most targets in a zone, of all kinds together.
+    pub max_per_zone: u32,
+    /// Time until an ordered target serves.
+    pub start_time: Duration,
+    /// Whether cheap targets that may be reclaimed can be had.
+    pub has_reclaimable: bool,
+    /// Zones in which targets can be ordered.
+    pub zones: Vec<String>,
+}
+
 /// A service, which is a group of targets.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Service {
@@ -79,6 +92,8 @@
     pub max_connections: u32,
     /// Set if the targets are inference engines.
     pub engine: Option<EngineLimits>,
+    /// Set if targets can be ordered.
+    pub scaling: Option<ScalingLimits>,
 }
 
 /// A tenant (workspace) with its keys.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -46,6 +46,15 @@
     /// Time for which a missing target is kept after the store has returned from an outage.
     #[serde(default = "default_reappear_ms")]
     pub reappear_ms: u64,
+    /// Part of the engines of a service that compute prompts.
+    #[serde(default = "default_prefill_part")]
+    pub prefill_part: f64,
+    /// Reclaimable engines that are ordered in each zone.
+    #[serde(default = "default_reclaimable_per_zone")]
+    pub reclaimable_per_zone: u32,
+    /// Whether targets refuse orders with an old fence.
+    #[serde(default)]
+    pub targets_check_fences: bool,
     /// Least severe log level.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -91,6 +100,9 @@
         if config.usage_window_ms == 0 || config.repeat_window_ms == 0 {
             return Err("usage_window_ms, repeat_window_ms: use a length above 0".into());
         }
+        if !(0.0..=1.0).contains(&config.prefill_part) {
+            return Err("prefill_part: use a part from 0 to 1".into());
+        }
         if config.shutdown_grace_ms < 2000 {
             return Err(
                 "shutdown_grace_ms: callers keep addresses for seconds; use 2000 or more".into(),
@@ -118,6 +130,18 @@
     2000
 }
 
+/// Five of nine engines: a prompt of 2,900 new tokens takes a prefill engine 8 ms, and four engines
+/// generate the long answers of a burst.
+fn default_prefill_part() -> f64 {
+    0.55
+}
+
+/// As many as usual engines in the deployments of today; a zone then keeps half when all are
+/// reclaimed.
+fn default_reclaimable_per_zone() -> u32 {
+    3
+}
+
 fn default_log_level() -> String {
     "info".into()
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -99,11 +99,13 @@
         shared
             .quarantine()
             .step(QuarantineEvent::Tick, now, &mut Vec::new());
+        let vms = shared.vms();
         {
             let mut fleet = shared.fleet();
             let fleet = &mut *fleet;
             fleet.catalog.forget_gone(now);
             fleet.placer.forget_gone(&fleet.catalog);
+            fleet.placer.set_vms(vms);
         }
         sleep(TICK_INTERVAL).await;
     }
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -1,14 +1,18 @@
-//! Usage reports, sent by the one vm that holds the lease.
+//! Usage reports and orders to engines, sent by the one vm that holds the lease of each.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use jujubebeam_core::authority::{Command, Event, Scope};
-use jujubebeam_core::gateway::WindowCounts;
+use jujubebeam_core::authority::{Command, Event, Scope, SendResult};
+use jujubebeam_core::gateway::{
+    CountOrder, RolePolicy, ScalePolicy, Scaler, Stage, WindowCounts, stage_changes,
+};
 use jujubebeam_core::store::{Expected, StoreOp, StoreReply};
-use jujubebeam_core::{Fence, Machine};
+use jujubebeam_core::{Fence, Incarnation, Machine};
 use ntex::time::sleep;
+use serde::{Deserialize, Serialize};
 
 use crate::config::GatewayDuty;
 use crate::edges::{DutiesApi, DutyResult, Edges, StoreApi};
@@ -17,6 +21,15 @@
 use crate::peers;
 use crate::server::Context;
 
+/// Time for one order; the lease must hold for as long.
+const ORDER_TIME: Duration = Duration::from_millis(700);
+
+/// Time after which an engine that has not changed its stage is ordered again.
+const ORDER_AGAIN: Duration = Duration::from_secs(8);
+
+/// Time without coming or going engines after which their stages are judged.
+const SETTLE_STAGES: Duration = Duration::from_millis(1000);
+
 /// Time between two looks at the lease and the windows.
 const INTERVAL: Duration = Duration::from_millis(200);
 
@@ -30,33 +43,176 @@
 /// Rounds in which vms that did not answer are asked again.
 const COLLECT_ROUNDS: usize = 3;
 
+/// Name under which orders for targets are recorded; the platform is the only receiver.
+const PLATFORM: &str = "platform";
+
+/// An order that one vm at a time gives.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Order {
+    /// To an engine: change the stage.
+    Stage(Stage),
+    /// To the platform: keep this number of targets.
+    Count(CountOrder),
+}
+
 /// Performs the duties of this vm until the process ends.
 pub(crate) async fn run<E: Edges>(context: &Context<E>) {
     let config = &context.shared.config;
-    let Some(address) = config.duties_address else {
-        return;
-    };
-    if !config.duties.contains(&GatewayDuty::Usage) {
-        return;
+    let address = config.duties_address.map(|a| a.to_string());
+    let client = Rc::new(E::Duties::new(
+        context.http.clone(),
+        &address.clone().unwrap_or_default(),
+    ));
+    let reports_usage = address.is_some() && config.duties.contains(&GatewayDuty::Usage);
+    if reports_usage {
+        want(context, &client, Scope::Usage);
     }
-    let client = E::Duties::new(context.http.clone(), &address.to_string());
-    feed(
-        context,
-        Event::Want {
-            scope: Scope::Usage,
-            checks_fencing: false,
-        },
-    );
+    let orders_targets = address.is_some() && config.duties.contains(&GatewayDuty::Ordering);
+    if orders_targets {
+        want(context, &client, Scope::Ordering);
+    }
+    let mut scaler = Scaler::default();
     let mut reported = BTreeSet::new();
+    let mut ordered = BTreeMap::new();
     loop {
         let vms = context.shared.membership().listed();
-        feed(context, Event::Vms(vms));
-        feed(context, Event::Tick);
-        report_due(context, &client, &mut reported).await;
+        feed(context, &client, Event::Vms(vms));
+        feed(context, &client, Event::Tick);
+        order_stages(context, &client, &mut ordered);
+        if orders_targets {
+            order_counts(context, &client, &mut scaler);
+        }
+        if reports_usage {
+            report_due(context, &client, &mut reported).await;
+        }
         sleep(INTERVAL).await;
     }
 }
 
+fn want<E: Edges>(context: &Context<E>, client: &Rc<E::Duties>, scope: Scope) {
+    let event = Event::Want {
+        scope,
+        checks_fencing: context.shared.config.targets_check_fences,
+    };
+    feed(context, client, event);
+}
+
+/// Brings the stages of the engines of each service to their distribution.
+fn order_stages<E: Edges>(
+    context: &Context<E>,
+    client: &Rc<E::Duties>,
+    ordered: &mut BTreeMap<String, Duration>,
+) {
+    let shared = &context.shared;
+    let Some(settings) = shared.settings() else {
+        return;
+    };
+    let now = shared.now();
+    ordered.retain(|_, at| now < *at + ORDER_AGAIN);
+    for service in settings.services.values().filter(|s| s.engine.is_some()) {
+        let scope = Scope::Engines {
+            group: service.name.clone(),
+            zone: "all".into(),
+        };
+        want(context, client, scope.clone());
+        if shared.authority().fence(&scope, now).is_none() {
+            continue;
+        }
+        let policy = RolePolicy {
+            prefill_part: shared.config.prefill_part,
+            ..RolePolicy::default()
+        };
+        let changes: Vec<_> = {
+            let fleet = shared.fleet();
+            let changes = stage_changes(&fleet.catalog, &service.name, policy);
+            let named = changes.into_iter().filter_map(|(key, stage)| {
+                let target = fleet.catalog.get(key)?;
+                Some((target.id.clone(), target.born_ms, stage))
+            });
+            named.collect()
+        };
+        // Engines under way still count with their old stage, and while engines come and go the
+        // distribution cannot be judged.
+        let is_settled = now >= shared.fleet().catalog.changed_at() + SETTLE_STAGES;
+        if !ordered.is_empty() || !is_settled {
+            continue;
+        }
+        for (target, born_ms, stage) in changes {
+            ordered.insert(target.clone(), now);
+            let event = Event::Request {
+                scope: scope.clone(),
+                target,
+                target_incarnation: Incarnation(born_ms),
+                order: Order::Stage(stage),
+            };
+            feed(context, client, event);
+        }
+    }
+}
+
+/// Orders the reclaimable engines that are missing, one zone at a time.
+fn order_counts<E: Edges>(context: &Context<E>, client: &Rc<E::Duties>, scaler: &mut Scaler) {
+    let shared = &context.shared;
+    let Some(settings) = shared.settings() else {
+        return;
+    };
+    let now = shared.now();
+    if shared.authority().fence(&Scope::Ordering, now).is_none() {
+        return;
+    }
+    let policy = ScalePolicy {
+        reclaimable_per_zone: shared.config.reclaimable_per_zone,
+        ..ScalePolicy::default()
+    };
+    let order = {
+        let fleet = shared.fleet();
+        let mut services = settings.services.values();
+        services.find_map(|service| scaler.next_order(&fleet.catalog, service, policy, now))
+    };
+    let Some(order) = order else {
+        return;
+    };
+    let event = Event::Request {
+        scope: Scope::Ordering,
+        target: PLATFORM.into(),
+        target_incarnation: Incarnation(0),
+        order: Order::Count(order),
+    };
+    feed(context, client, event);
+}
+
+/// Sends an order of the lease machine and tells it how the send ended.
+async fn send_order<E: Edges>(
+    context: &Context<E>,
+    client: &Rc<E::Duties>,
+    target: &str,
+    fence: Fence,
+    order: Order,
+    deadline: Duration,
+) -> SendResult {
+    let shared = &context.shared;
+    if shared.now() + ORDER_TIME > deadline {
+        return SendResult::NotSent;
+    }
+    let holder = &shared.config.vm_name;
+    let result = match &order {
+        Order::Stage(stage) => {
+            let found = shared.fleet().catalog.by_id(target).cloned();
+            let Some(found) = found else {
+                return SendResult::Rejected;
+            };
+            client.order_stage(holder, fence, &found, *stage).await
+        }
+        Order::Count(order) => client.order_count(holder, fence, order).await,
+    };
+    shared.journal.write(
+        LineKind::Duty,
+        shared.now(),
+        format_args!("target={target} order={order:?} fence={fence} outcome={result:?}"),
+    );
+    result
+}
+
 fn fence<E: Edges>(context: &Context<E>) -> Option<Fence> {
     let shared = &context.shared;
     shared.authority().fence(&Scope::Usage, shared.now())
@@ -183,17 +339,17 @@
 }
 
 /// Feeds the lease machine and performs its commands.
-fn feed<E: Edges>(context: &Context<E>, event: Event<()>) {
+fn feed<E: Edges>(context: &Context<E>, client: &Rc<E::Duties>, event: Event<Order>) {
     let shared = &context.shared;
     let mut commands = Vec::new();
     shared.authority().step(event, shared.now(), &mut commands);
     for command in commands {
         match command {
             Command::Store(call) => {
-                let context = context.clone();
+                let (context, client) = (context.clone(), client.clone());
                 ntex::rt::spawn(async move {
                     let reply = context.store.perform(call.op).await;
-                    feed(&context, Event::Store(call.token, reply));
+                    feed(&context, &client, Event::Store(call.token, reply));
                 });
             }
             Command::Acquired(scope, fence) => shared.journal.write(
@@ -206,8 +362,39 @@
                 shared.now(),
                 format_args!("scope={scope} state=lost"),
             ),
-            // No orders are given through the machine.
-            Command::Send { .. } | Command::Finished { .. } | Command::Refused { .. } => {}
+            Command::Send {
+                scope,
+                target,
+                order_id,
+                fence,
+                order,
+                deadline,
+            } => {
+                let (context, client) = (context.clone(), client.clone());
+                ntex::rt::spawn(async move {
+                    let sent = send_order(&context, &client, &target, fence, order, deadline);
+                    let result = sent.await;
+                    let event = Event::Sent {
+                        scope,
+                        target,
+                        order_id,
+                        result,
+                    };
+                    feed(&context, &client, event);
+                });
+            }
+            Command::Finished {
+                target, outcome, ..
+            } => shared.journal.write(
+                LineKind::Duty,
+                shared.now(),
+                format_args!("duty=stage target={target} finished={outcome:?}"),
+            ),
+            Command::Refused { target, reason, .. } => shared.journal.write(
+                LineKind::Duty,
+                shared.now(),
+                format_args!("duty=stage target={target} refused={reason:?}"),
+            ),
         }
     }
 }
--- a/crates/gateway/src/edges.rs
+++ b/crates/gateway/src/edges.rs
@@ -3,8 +3,10 @@
 use std::future::Future;
 use std::time::Duration;
 
+use jujubebeam_core::authority::SendResult;
 use jujubebeam_core::gateway::{
-    CatalogTarget, GatewaySettings, LoadReport, MirrorItem, PromptPart, WindowCounts,
+    CatalogTarget, CountOrder, GatewaySettings, LoadReport, MirrorItem, PromptPart, Stage,
+    WindowCounts,
 };
 use jujubebeam_core::store::{StoreOp, StoreReply};
 use jujubebeam_core::{Fence, Revision};
@@ -53,8 +55,27 @@
     pub tenant: Option<&'a str>,
     /// Rank among requests at the target, if it differs from the usual one.
     pub priority: Option<u32>,
-    /// Event after which a stream continues.
-    pub last_event: Option<u64>,
+    /// What part of the request's work the target does.
+    pub work: Work<'a>,
+}
+
+/// What part of a request's work a target does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Work<'a> {
+    /// All of it.
+    #[default]
+    Whole,
+    /// It computes the prompt and keeps it for another engine.
+    Prompt,
+    /// It generates the answer from a prompt that another engine keeps.
+    Answer {
+        /// Address of the engine that keeps the prompt.
+        address: &'a str,
+        /// The prompt.
+        handle: &'a str,
+    },
+    /// It continues a stream after this event.
+    Resume(u64),
 }
 
 /// Headers that are added to a request.
@@ -103,6 +124,8 @@
     fn outgoing(outgoing: &Outgoing<'_>) -> OutgoingHeaders;
     /// Reads the head of an answer.
     fn answer(status: u16, headers: &impl HeaderLookup) -> AnswerHead;
+    /// Handle of a computed prompt in the body of an engine's answer.
+    fn prompt_handle(body: &[u8]) -> Option<String>;
     /// Body of an answer to a question for addresses.
     fn addresses(addresses: &[String], lifetime: Duration) -> Vec<u8>;
     /// Decodes a key of the settings prefix.
@@ -167,4 +190,19 @@
         window: u64,
         counts: &WindowCounts,
     ) -> impl Future<Output = DutyResult>;
+    /// Orders a number of targets. `Rejected` means that none can be had at the moment.
+    fn order_count(
+        &self,
+        holder: &str,
+        fence: Fence,
+        order: &CountOrder,
+    ) -> impl Future<Output = SendResult>;
+    /// Orders an engine to change its stage.
+    fn order_stage(
+        &self,
+        holder: &str,
+        fence: Fence,
+        target: &CatalogTarget,
+        stage: Stage,
+    ) -> impl Future<Output = SendResult>;
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,12 +10,14 @@
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use jujubebeam_core::gateway::{
-    AttemptEnd, FinalAnswer, GatewaySettings, HostRoute, NextStep, PlaceRequest, Placed,
-    RefusedPlace, Repeatability, RequestKind, RequestProgress, Stage, TargetKey,
+    AttemptEnd, EnginePath, FinalAnswer, GatewaySettings, HostRoute, NextStep, PlaceRequest,
+    Placed, PromptPart, RefusedPlace, Repeatability, RequestKind, RequestProgress, Stage,
+    TargetKey,
 };
 use jujubebeam_core::quarantine::{Fingerprint, QuarantineCommand, QuarantineEvent, Verdict};
 use jujubebeam_core::{Machine, RouteId, TargetId};
 use ntex::http::StatusCode;
+use ntex::io::IoRef;
 use ntex::util::Bytes as NtexBytes;
 use ntex::web::types::{Payload, State};
 use ntex::web::{HttpRequest, HttpResponse};
@@ -24,10 +26,11 @@
 
 use crate::answer::{CallerHeaders, Reason, Refusal, TargetHeaders};
 use crate::connection::{SendError, TargetConnection};
-use crate::edges::{AnswerHead, Edges, Incoming, Outgoing, Wire};
+use crate::edges::{AnswerHead, Edges, Incoming, Outgoing, Wire, Work};
 use crate::journal::LineKind;
 use crate::message::Message;
 use crate::peers;
+use crate::prompt::{self, Prompt};
 use crate::server::Context;
 use crate::state::Shared;
 use crate::stream::{self, EventStream};
@@ -42,6 +45,9 @@
 /// address beyond its lifetime are told to go elsewhere, while what was taken is finished.
 const TAKE_WHILE_LEAVING: Duration = Duration::from_millis(2500);
 
+/// Time after which a caller may come back when a service has no target at all.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
+
 /// Connections to a target that are left to callers outside the system and to restarts of vms.
 const CONNECTION_SHARE: f64 = 0.8;
 
@@ -73,7 +79,11 @@
     headers: http::HeaderMap,
     body: Bytes,
     fingerprint: Fingerprint,
+    /// The caller's connection.
+    io: Option<IoRef>,
     pub(crate) arrived: Instant,
+    /// Longest predicted wait at a target with which the request is sent.
+    longest_wait: Duration,
     /// When the request's time is over.
     pub(crate) limit: Instant,
     counted: Cell<bool>,
@@ -87,7 +97,8 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.shared.fleet().placer.finished(&self.placed);
+        let now = self.shared.now();
+        self.shared.fleet().placer.finished(&self.placed, now);
     }
 }
 
@@ -181,6 +192,12 @@
         return Err(denied(refusal));
     };
     let service = service.to_owned();
+    let longest_wait = shared.admission().longest_wait(
+        &route.name,
+        route.latency_aim,
+        incoming.deadline,
+        limit.saturating_duration_since(Instant::now()),
+    );
     let route = settings
         .routes
         .iter()
@@ -208,6 +225,8 @@
         uri,
         host,
         body,
+        io: request.io().cloned(),
+        longest_wait,
         arrived,
         limit,
         counted: Cell::new(false),
@@ -299,18 +318,32 @@
         }
     }
 
+    fn place_request<'a>(
+        &'a self,
+        parts: &'a [PromptPart],
+        excluded: &'a [TargetKey],
+    ) -> PlaceRequest<'a> {
+        PlaceRequest {
+            service: &self.service,
+            stage: self.stage(),
+            parts,
+            excluded,
+            longest_wait: self.longest_wait,
+        }
+    }
+
     fn stage(&self) -> Option<Stage> {
         let service = self.settings.services.get(&self.service)?;
         service.engine.map(|_| Stage::Decode)
     }
 
-    fn request<E: Edges>(&self, placed: &Placed, last_event: Option<u64>) -> Request<Full<Bytes>> {
+    fn request<E: Edges>(&self, placed: &Placed, work: Work<'_>) -> Request<Full<Bytes>> {
         let outgoing = Outgoing {
             time_left: self.limit.saturating_duration_since(Instant::now()),
             target_id: &placed.target.id,
             tenant: self.tenant.as_deref(),
             priority: None,
-            last_event,
+            work,
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -328,6 +361,13 @@
         request
     }
 
+    /// Closes the caller's connection, so that a stream that broke off does not look whole.
+    pub(crate) fn close_connection(&self) {
+        if let Some(io) = &self.io {
+            io.close();
+        }
+    }
+
     /// Counts the request for usage, once.
     pub(crate) fn began(&self, shared: &Shared) {
         if self.counted.replace(true) {
@@ -393,6 +433,7 @@
     let mut progress = RequestProgress::new(job.repeatability(), job.route().max_attempts);
     let mut excluded: SmallVec<[TargetKey; 4]> = SmallVec::new();
     let mut kept: Option<WholeAnswer> = None;
+    let mut prompt = Prompt::NotComputed;
     let refuse = |refusal: Refusal| {
         let id = &job.incoming.attempt_id;
         let age = job.arrived.elapsed();
@@ -405,8 +446,8 @@
         return refuse(Refusal::not_run(Reason::CrashesTargets, retry_after));
     }
     loop {
-        let in_flight = match place(context, job, &excluded) {
-            Ok(in_flight) => in_flight,
+        let planned = match plan(context, job, &excluded, &prompt) {
+            Ok(planned) => planned,
             Err(refused) => {
                 if let Some(answer) = kept {
                     return pass_on(context, job, answer);
@@ -417,8 +458,17 @@
                 return refuse(refused);
             }
         };
+        let (in_flight, work) = match planned {
+            Planned::Compute(in_flight) => {
+                prompt = prompt::compute(context, job, in_flight).await;
+                continue;
+            }
+            Planned::Run(in_flight) => (in_flight, prompt.work()),
+        };
         let key = in_flight.placed.key;
-        let (end, reason) = match attempt(context, job, in_flight, None).await {
+        let ended = attempt(context, job, in_flight, work).await;
+        prompt.used();
+        let (end, reason) = match ended {
             Attempted::Whole(answer) if !is_worth_repeating(&answer, job) => {
                 return pass_on(context, job, answer);
             }
@@ -459,48 +509,83 @@
     answer.parts.status.is_server_error() && job.repeatability() == Repeatability::Idempotent
 }
 
+/// What an attempt begins with.
+enum Planned {
+    /// The prompt is computed at an engine of its own.
+    Compute(InFlight),
+    /// The target runs the request, with the computed prompt if there is one.
+    Run(InFlight),
+}
+
+fn plan<E: Edges>(
+    context: &Context<E>,
+    job: &Job,
+    excluded: &[TargetKey],
+    prompt: &Prompt,
+) -> Result<Planned, Refusal> {
+    let is_engine = job.stage().is_some();
+    if !is_engine || !prompt.may_be_computed() {
+        let parts = match prompt {
+            Prompt::Computed(_) => &[],
+            _ => &job.incoming.prompt_parts[..],
+        };
+        return place(context, job, parts, excluded).map(Planned::Run);
+    }
+    let shared = &context.shared;
+    let request = job.place_request(&job.incoming.prompt_parts, excluded);
+    let mut fleet = shared.fleet();
+    let fleet = &mut *fleet;
+    let path = fleet
+        .placer
+        .place_engine(&fleet.catalog, &request, shared.now())
+        .map_err(refused_place)?;
+    let in_flight = |placed| InFlight {
+        shared: shared.clone(),
+        placed,
+    };
+    Ok(match path {
+        EnginePath::Direct(placed) => Planned::Run(in_flight(placed)),
+        EnginePath::Split(placed) => Planned::Compute(in_flight(placed)),
+    })
+}
+
 /// Chooses a target for the next attempt.
 pub(crate) fn place<E: Edges>(
     context: &Context<E>,
     job: &Job,
+    parts: &[PromptPart],
     excluded: &[TargetKey],
 ) -> Result<InFlight, Refusal> {
     let shared = &context.shared;
-    let now = shared.now();
-    let request = PlaceRequest {
-        service: &job.service,
-        stage: job.stage(),
-        parts: &job.incoming.prompt_parts,
-        excluded,
-        time_left: job.limit.saturating_duration_since(Instant::now()),
-    };
+    let request = job.place_request(parts, excluded);
     let mut fleet = shared.fleet();
     let fleet = &mut *fleet;
-    let placed =
-        fleet
-            .placer
-            .place(&fleet.catalog, &request, now)
-            .map_err(|refused| match refused {
-                RefusedPlace::NoTarget => {
-                    Refusal::not_run(Reason::NoTarget, Duration::from_millis(500))
-                }
-                RefusedPlace::Overloaded { retry_after } => {
-                    Refusal::not_run(Reason::Overloaded, retry_after)
-                }
-            })?;
+    let placed = fleet
+        .placer
+        .place(&fleet.catalog, &request, shared.now())
+        .map_err(refused_place)?;
     Ok(InFlight {
         shared: shared.clone(),
         placed,
     })
 }
 
+fn refused_place(refused: RefusedPlace) -> Refusal {
+    match refused {
+        RefusedPlace::NoTarget => Refusal::not_run(Reason::NoTarget, NO_TARGET_RETRY),
+        RefusedPlace::Overloaded { retry_after } => {
+            Refusal::not_run(Reason::Overloaded, retry_after)
+        }
+    }
+}
+
 async fn attempt<E: Edges>(
     context: &Context<E>,
     job: &Rc<Job>,
     in_flight: InFlight,
-    last_event: Option<u64>,
+    work: Work<'_>,
 ) -> Attempted {
-    let (response, connection) = match send(context, job, &in_flight, last_event).await {
+    let (response, connection) = match send(context, job, &in_flight, work).await {
         Ok(sent) => sent,
         Err((end, reason)) => return Attempted::Ended(end, reason),
     };
@@ -518,11 +603,12 @@
     context: &Context<E>,
     job: &Job,
     in_flight: &InFlight,
-    last_event: Option<u64>,
+    work: Work<'_>,
 ) -> Result<(Response<hyper::body::Incoming>, TargetConnection), (AttemptEnd, String)> {
     let shared = &context.shared;
     let placed = &in_flight.placed;
-    let runs_once = job.repeatability() != Repeatability::Idempotent;
+    // A prompt may be computed again.
+    let runs_once = job.repeatability() != Repeatability::Idempotent && work != Work::Prompt;
     let limit = connection_limit(shared, job);
     let target = &placed.target;
     let connected = context
@@ -533,7 +619,7 @@
         Ok(connection) => connection,
         Err(error) => return Err(send_failed(context, placed, error)),
     };
-    let response = match connection.send(job.request::<E>(placed, last_event)).await {
+    let response = match connection.send(job.request::<E>(placed, work)).await {
         Ok(response) => response,
         Err(error) => {
             let (end, reason) = send_failed(context, placed, error);
@@ -547,13 +633,14 @@
         response.status().as_u16(),
         &TargetHeaders(response.headers()),
     );
-    check_head(context, job, placed, &head, response, connection).await
+    check_head(context, job, placed, work, &head, response, connection).await
 }
 
 async fn check_head<E: Edges>(
     context: &Context<E>,
     job: &Job,
     placed: &Placed,
+    work: Work<'_>,
     head: &AnswerHead,
     response: Response<hyper::body::Incoming>,
     connection: TargetConnection,
@@ -569,13 +656,16 @@
         }
         return Err((AttemptEnd::NotRun, format!("refused with {status}")));
     }
-    if echoed != Some(job.incoming.attempt_id.as_str()) {
+    // The answer to a computed prompt is not meant for the caller and may bear no id or signature.
+    let is_prompt = work == Work::Prompt;
+    let is_mine = echoed == Some(job.incoming.attempt_id.as_str());
+    if !is_mine && !(is_prompt && echoed.is_none()) {
         // The answer belongs to another request; its connection cannot be trusted any more.
         shared.fleet().placer.failed(placed, now);
         return Err((AttemptEnd::Broken, "answer of another request".into()));
     }
     let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
-    let unsigned_success = response.status().is_success() && !head.is_signed;
+    let unsigned_success = response.status().is_success() && !head.is_signed && !is_prompt;
     if encoded || unsigned_success {
         shared.fleet().placer.failed(placed, now);
         return Err((AttemptEnd::Broken, "answer is not the target's own".into()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod journal;
 mod message;
 mod peers;
+mod prompt;
 mod server;
 mod state;
 mod stream;
@@ -22,6 +23,6 @@
 pub use config::{GatewayConfig, GatewayDuty, ListenAddresses};
 pub use edges::{
     AnswerHead, DutiesApi, DutyResult, Edges, HeaderLookup, Incoming, Outgoing, OutgoingHeaders,
-    StoreApi, StoredSettings, WatchReply, Wire,
+    StoreApi, StoredSettings, WatchReply, Wire, Work,
 };
 pub use server::run;
--- /dev/null
+++ b/crates/gateway/src/prompt.rs
@@ -0,0 +1,90 @@
+//! Prompts that an engine of their own computes.
+
+use http_body_util::{BodyExt, Limited};
+use jujubebeam_core::gateway::AttemptEnd;
+
+use crate::edges::{Edges, Wire, Work};
+use crate::forward::{self, InFlight, Job};
+use crate::server::Context;
+
+/// Longest answer that names a computed prompt.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// State of a request's prompt.
+#[derive(Debug)]
+pub(crate) enum Prompt {
+    /// No engine computes it apart yet.
+    NotComputed,
+    /// An engine keeps it for another one.
+    Computed(ComputedPrompt),
+    /// It was taken or could not be computed, and is not computed apart again: a second try would
+    /// count as a repeat.
+    Gone,
+}
+
+/// A prompt that an engine keeps.
+#[derive(Debug)]
+pub(crate) struct ComputedPrompt {
+    address: String,
+    handle: String,
+}
+
+impl Prompt {
+    /// Whether an engine of its own may still compute it.
+    pub(crate) fn may_be_computed(&self) -> bool {
+        matches!(self, Self::NotComputed)
+    }
+
+    /// What the next target does.
+    pub(crate) fn work(&self) -> Work<'_> {
+        match self {
+            Self::Computed(computed) => Work::Answer {
+                address: &computed.address,
+                handle: &computed.handle,
+            },
+            Self::NotComputed | Self::Gone => Work::Whole,
+        }
+    }
+
+    /// A target got the prompt; it can be taken once.
+    pub(crate) fn used(&mut self) {
+        if matches!(self, Self::Computed(_)) {
+            *self = Self::Gone;
+        }
+    }
+}
+
+/// Lets an engine compute the prompt.
+pub(crate) async fn compute<E: Edges>(
+    context: &Context<E>,
+    job: &Job,
+    in_flight: InFlight,
+) -> Prompt {
+    let key = in_flight.placed.key;
+    let failed = |end, reason: &str| {
+        forward::tell_attempt(&context.shared, job, key, end, reason);
+        Prompt::Gone
+    };
+    let sent = forward::send(context, job, &in_flight, Work::Prompt).await;
+    let (response, connection) = match sent {
+        Ok(sent) => sent,
+        Err((end, reason)) => return failed(end, &reason),
+    };
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return failed(AttemptEnd::Broken, &error.to_string()),
+    };
+    context.pool.release(key, connection);
+    if !status.is_success() {
+        return failed(AttemptEnd::Broken, &format!("prompt: status {status}"));
+    }
+    match E::Wire::prompt_handle(&body) {
+        Some(handle) => Prompt::Computed(ComputedPrompt {
+            address: in_flight.placed.target.address.clone(),
+            handle,
+        }),
+        None => failed(AttemptEnd::Broken, "prompt: answer without a handle"),
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,8 +6,8 @@
 
 use jujubebeam_core::authority::{Authority, AuthorityConfig, Holder};
 use jujubebeam_core::gateway::{
-    ArrivalBudget, ArrivalBudgetConfig, Catalog, GatewaySettings, Mirror, PlacementConfig, Placer,
-    TrueTime, UsageWindows,
+    Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, GatewaySettings, Mirror,
+    PlacementConfig, Placer, TrueTime, UsageWindows,
 };
 use jujubebeam_core::membership::{Membership, MembershipConfig, Record};
 use jujubebeam_core::quarantine::{Quarantine, QuarantineConfig};
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::config::GatewayConfig;
+use crate::duties::Order;
 use crate::journal::Journal;
 
 /// Targets and what is known of their load.
@@ -50,9 +51,10 @@
     fleet: Mutex<Fleet>,
     mirrors: Mutex<Mirrors>,
     budget: Mutex<ArrivalBudget>,
+    admission: Mutex<Admission>,
     usage: Mutex<UsageState>,
     membership: Mutex<Membership>,
-    authority: Mutex<Authority<()>>,
+    authority: Mutex<Authority<Order>>,
     quarantine: Mutex<Quarantine>,
     /// Monotonic time in milliseconds at which this vm began to leave, or 0.
     leaving_since_ms: AtomicU64,
@@ -115,6 +117,7 @@
             }),
             mirrors: Mutex::default(),
             budget: Mutex::new(ArrivalBudget::new(budget)),
+            admission: Mutex::default(),
             usage: Mutex::new(UsageState {
                 windows: UsageWindows::new(usage_window),
                 true_time: TrueTime::default(),
@@ -175,6 +178,10 @@
         lock(&self.budget)
     }
 
+    pub(crate) fn admission(&self) -> MutexGuard<'_, Admission> {
+        lock(&self.admission)
+    }
+
     pub(crate) fn usage(&self) -> MutexGuard<'_, UsageState> {
         lock(&self.usage)
     }
@@ -183,7 +190,7 @@
         lock(&self.membership)
     }
 
-    pub(crate) fn authority(&self) -> MutexGuard<'_, Authority<()>> {
+    pub(crate) fn authority(&self) -> MutexGuard<'_, Authority<Order>> {
         lock(&self.authority)
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,5 +1,6 @@
 //! Streams of events: passed on as they arrive, and resumed elsewhere where the route allows it.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use tokio::time::timeout_at;
 
 use crate::connection::TargetConnection;
-use crate::edges::Edges;
+use crate::edges::{Edges, Work};
 use crate::events::EventSplitter;
 use crate::forward::{self, InFlight, Job};
 use crate::journal::LineKind;
@@ -168,20 +169,8 @@
     })))
 }
 
-/// Ends the connection without the end of the body, so that the answer does not look whole.
-#[derive(Debug)]
-pub(crate) struct CutOff;
-
-impl std::fmt::Display for CutOff {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the stream broke off")
-    }
-}
-
-impl std::error::Error for CutOff {}
-
 impl<E: Edges> Pump<E> {
-    async fn next(&mut self) -> Option<Result<NtexBytes, CutOff>> {
+    async fn next(&mut self) -> Option<Result<NtexBytes, Infallible>> {
         if self.is_done {
             return None;
         }
@@ -191,10 +180,10 @@
         loop {
             let limit = self.job.limit;
             let Some(source) = &mut self.source else {
-                return self.cut("no target continues the stream");
+                return self.cut("no target continues the stream").await;
             };
             match timeout_at(limit, source.next()).await {
-                Err(_) => return self.cut("the request's time is over"),
+                Err(_) => return self.cut("the request's time is over").await,
                 Ok(Piece::Events(events)) => {
                     self.last_id = source.splitter.last_id().or(self.last_id);
                     return Some(Ok(NtexBytes::copy_from_slice(&events)));
@@ -205,7 +194,7 @@
                 }
                 Ok(Piece::Broken(reason)) => {
                     if let Err(reason) = self.resume(&reason).await {
-                        return self.cut(&reason);
+                        return self.cut(&reason).await;
                     }
                 }
             }
@@ -241,19 +230,24 @@
             let NextStep::TryAgain { spends } = self.progress.ended(end) else {
                 return Err("the stream cannot be repeated".into());
             };
-            if self.last_id.is_none() {
+            let Some(last_id) = self.last_id else {
                 return Err("the events have no ids".into());
-            }
+            };
             let vms = shared.vms();
             if spends && !shared.budget().take(&self.job.service, vms, shared.now()) {
                 return Err("the repeat budget is used up".into());
             }
-            let in_flight = forward::place(&self.context, &self.job, &self.excluded)
-                .map_err(|refusal| refusal.reason.to_string())?;
+            let in_flight = forward::place(
+                &self.context,
+                &self.job,
+                &self.job.incoming.prompt_parts,
+                &self.excluded,
+            )
+            .map_err(|refusal| refusal.reason.to_string())?;
             let key = in_flight.placed.key;
             let sent = timeout_at(
                 self.job.limit,
-                forward::send(&self.context, &self.job, &in_flight, self.last_id),
+                forward::send(&self.context, &self.job, &in_flight, Work::Resume(last_id)),
             );
             match sent.await {
                 Err(_) => return Err("the request's time is over".into()),
@@ -278,7 +272,7 @@
         }
     }
 
-    fn cut(&mut self, reason: &str) -> Option<Result<NtexBytes, CutOff>> {
+    async fn cut(&mut self, reason: &str) -> Option<Result<NtexBytes, Infallible>> {
         self.is_done = true;
         self.source = None;
         let shared = &self.context.shared;
@@ -293,6 +287,8 @@
                 self.job.arrived.elapsed().as_millis()
             ),
         );
-        Some(Err(CutOff))
+        // An error from here would make ntex write an error response into the middle of the body.
+        self.job.close_connection();
+        std::future::pending().await
     }
 }
