--- a/crates/core/src/gateway/outcome.rs
+++ b/crates/core/src/gateway/outcome.rs
@@ -117,6 +117,19 @@
         NextStep::Answer(self.give_up(end))
     }
 
+    /// Decides what follows a prompt that an engine of its own did not compute. Such a call is no run,
+    /// but one that was not accepted counts as an arrival and as an attempt.
+    pub fn prompt_failed(&mut self, end: AttemptEnd) -> NextStep {
+        if end == AttemptEnd::NotSent {
+            return self.after_unsent();
+        }
+        self.arrivals += 1;
+        if self.arrivals < self.max_attempts {
+            return NextStep::TryAgain { spends: true };
+        }
+        NextStep::Answer(self.give_up(AttemptEnd::NotRun))
+    }
+
     /// Final answer when no target, budget or time is left after `end`.
     pub fn give_up(&self, end: AttemptEnd) -> FinalAnswer {
         if end == AttemptEnd::BrokenMidway {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -460,7 +460,18 @@
         };
         let (in_flight, work) = match planned {
             Planned::Compute(in_flight) => {
-                prompt = prompt::compute(context, job, in_flight).await;
+                let key = in_flight.placed.key;
+                match prompt::compute(context, job, in_flight).await {
+                    Ok(computed) => prompt = computed,
+                    Err(end) => {
+                        prompt = Prompt::Gone;
+                        excluded.push(key);
+                        let step = progress.prompt_failed(end);
+                        if !may_try_again(shared, job, step) {
+                            return refuse(Refusal::from_final(progress.give_up(end)));
+                        }
+                    }
+                }
                 continue;
             }
             Planned::Run(in_flight) => (in_flight, prompt.work()),
@@ -482,15 +493,7 @@
         tell_attempt(shared, job, key, end, &reason);
         excluded.push(key);
         let step = progress.ended(end);
-        let allowed = match step {
-            NextStep::TryAgain { spends: true } => {
-                let vms = shared.vms();
-                shared.budget().take(&job.service, vms, shared.now())
-            }
-            NextStep::TryAgain { spends: false } => true,
-            NextStep::Answer(_) => false,
-        };
-        if allowed {
+        if may_try_again(shared, job, step) {
             continue;
         }
         if let Some(answer) = kept {
@@ -504,6 +507,18 @@
     }
 }
 
+/// Whether another target may be tried, which takes from the budget if a target got the request.
+pub(crate) fn may_try_again(shared: &Shared, job: &Job, step: NextStep) -> bool {
+    match step {
+        NextStep::TryAgain { spends: true } => {
+            let vms = shared.vms();
+            shared.budget().take(&job.service, vms, shared.now())
+        }
+        NextStep::TryAgain { spends: false } => true,
+        NextStep::Answer(_) => false,
+    }
+}
+
 /// A server error of an idempotent request may be a success elsewhere.
 fn is_worth_repeating(answer: &WholeAnswer, job: &Job) -> bool {
     answer.parts.status.is_server_error() && job.repeatability() == Repeatability::Idempotent
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -55,15 +55,19 @@
 }
 
 /// Lets an engine compute the prompt.
+///
+/// # Errors
+///
+/// Returns how the call ended if the prompt was not computed.
 pub(crate) async fn compute<E: Edges>(
     context: &Context<E>,
     job: &Job,
     in_flight: InFlight,
-) -> Prompt {
+) -> Result<Prompt, AttemptEnd> {
     let key = in_flight.placed.key;
     let failed = |end, reason: &str| {
         forward::tell_attempt(&context.shared, job, key, end, reason);
-        Prompt::Gone
+        Err(end)
     };
     let sent = forward::send(context, job, &in_flight, Work::Prompt).await;
     let (response, connection) = match sent {
@@ -81,10 +85,10 @@
         return failed(AttemptEnd::Broken, &format!("prompt: status {status}"));
     }
     match E::Wire::prompt_handle(&body) {
-        Some(handle) => Prompt::Computed(ComputedPrompt {
+        Some(handle) => Ok(Prompt::Computed(ComputedPrompt {
             address: in_flight.placed.target.address.clone(),
             handle,
-        }),
+        })),
         None => failed(AttemptEnd::Broken, "prompt: answer without a handle"),
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,7 +8,7 @@
 use http::{Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use jujubebeam_core::gateway::{AttemptEnd, NextStep, RequestProgress, TargetKey};
+use jujubebeam_core::gateway::{AttemptEnd, RequestProgress, TargetKey};
 use ntex::util::Bytes as NtexBytes;
 use ntex::web::HttpResponse;
 use smallvec::SmallVec;
@@ -227,15 +227,12 @@
         let mut end = end;
         self.excluded.push(key);
         loop {
-            let NextStep::TryAgain { spends } = self.progress.ended(end) else {
-                return Err("the stream cannot be repeated".into());
-            };
             let Some(last_id) = self.last_id else {
                 return Err("the events have no ids".into());
             };
-            let vms = shared.vms();
-            if spends && !shared.budget().take(&self.job.service, vms, shared.now()) {
-                return Err("the repeat budget is used up".into());
+            let step = self.progress.ended(end);
+            if !forward::may_try_again(&shared, &self.job, step) {
+                return Err("the stream may not be sent again".into());
             }
             let in_flight = forward::place(
                 &self.context,
--- a/crates/jujubebeam/tests/support/mod.rs
+++ b/crates/jujubebeam/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::io::Error;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command};
 use std::sync::{Arc, Mutex};
 
@@ -19,6 +19,7 @@
 use jujubebeam_engine::ResumeFrom;
 use jujubebeam_operator::{FLEET_KEY, TEAMS_PREFIX};
 use jujubebeam_store::wire::*;
+use jujubebeam_testport::reserve_address;
 use jujubebeam_vmlist::{ListedState, ListedVm, VM_LIST_PATH, VmList};
 use ntex::http::HeaderMap;
 use ntex::util::Bytes;
@@ -118,7 +119,7 @@
     }
 
     fn start_vm(&mut self, vm: u32, platform: SocketAddr, settings: &str) {
-        let (caller, peer) = (free_address(), free_address());
+        let (caller, peer) = (reserve_address(), reserve_address());
         let listed = ListedVm {
             vm: VmId(vm),
             zone: "a".into(),
@@ -156,11 +157,6 @@
     Collector { seen, server }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 async fn serve(seen: &Shared, role: Role) -> test::TestServer {
     let seen = seen.clone();
     test::server(async move || {
