--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -137,6 +137,11 @@
         self.targets.get(&key)
     }
 
+    /// Key of a target by id.
+    pub fn key_of(&self, id: &str) -> Option<TargetKey> {
+        self.by_id.get(id).copied()
+    }
+
     /// A target by id.
     pub fn by_id(&self, id: &str) -> Option<&CatalogTarget> {
         self.targets.get(self.by_id.get(id)?)
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -49,6 +49,12 @@
     pub eject_first: Duration,
     /// Longest time for which a failing target is avoided.
     pub eject_longest: Duration,
+    /// First time for which a target that refused a request is avoided; doubled with each further
+    /// refusal up to `eject_longest`.
+    pub refused_first: Duration,
+    /// Longest time for which an engine is believed to change its stage. It finishes the answers
+    /// that it generates before.
+    pub longest_change: Duration,
     /// Part of recent attempts that must have failed for a target to be avoided.
     pub failing_part: f64,
     /// Shortest time after which a refused caller may come back.
@@ -87,6 +93,8 @@
             silent_after: Duration::from_millis(400),
             eject_first: Duration::from_millis(400),
             eject_longest: Duration::from_secs(4),
+            refused_first: Duration::from_millis(200),
+            longest_change: Duration::from_secs(20),
             failing_part: 0.25,
             // Bursts last seconds; callers that return sooner meet the same queue.
             retry_shortest: Duration::from_millis(400),
@@ -187,6 +195,10 @@
     failing: f64,
     ejections: u32,
     avoided_until: Duration,
+    /// Refusals since the last answer.
+    refusals: u32,
+    /// Stage that the engine was ordered to take, and until when that is believed.
+    changing: Option<(Stage, Duration)>,
 }
 
 /// Exponentially weighted averages over time.
@@ -404,6 +416,7 @@
         let took_ms = now.saturating_sub(placed.placed_at).as_secs_f64() * 1000.0;
         let own_ms = placed.uncached_tokens as f64 / self.config.rate(placed.target.stage);
         state.delay = Some(((took_ms - own_ms).max(0.0), now));
+        state.refusals = 0;
         state.failing *= 0.8;
         if state.failing < self.config.failing_part / 2.0 {
             state.ejections = 0;
@@ -415,17 +428,32 @@
 
     /// The target refused the request because it is full.
     pub fn refused(&mut self, placed: &Placed, report: Option<LoadReport>, now: Duration) {
-        self.first_byte(placed, None, now);
+        let config = &self.config;
         let Some(state) = self.states.get_mut(&placed.key) else {
             return;
         };
-        let slots = placed.target.slots;
-        let full = LoadReport {
-            running: slots,
-            waiting: slots * 2,
-            slots,
-        };
-        state.report = Some((report.unwrap_or(full), now));
+        state.advance(now);
+        state.pending_tokens = state.pending_tokens.saturating_sub(placed.uncached_tokens);
+        state.unanswered_since = None;
+        if let Some(report) = report {
+            state.report = Some((report, now));
+        }
+        // A full target is refilled by whoever asks first, and one that changes its stage refuses for
+        // seconds; both are left alone for a while.
+        let time = config.refused_first * (1 << state.refusals.min(6));
+        state.avoided_until = now + time.min(config.eject_longest);
+        state.refusals += 1;
+    }
+
+    /// The engine was ordered to take a stage; it refuses new work until it has.
+    pub fn changes_stage(&mut self, key: TargetKey, stage: Stage, now: Duration) {
+        let until = now + self.config.longest_change;
+        self.states.entry(key).or_default().changing = Some((stage, until));
+    }
+
+    fn is_changing(&self, key: TargetKey, target: &CatalogTarget, now: Duration) -> bool {
+        let changing = self.states.get(&key).and_then(|state| state.changing);
+        changing.is_some_and(|(stage, until)| now < until && target.stage != Some(stage))
     }
 
     /// The attempt failed: the connection was refused, broke or gave no answer in time.
@@ -484,6 +512,7 @@
                     && target.phase == TargetPhase::Ready
                     && !request.excluded.contains(key)
                     && (!stage_matters || target.stage == request.stage)
+                    && !self.is_changing(*key, target, now)
             })
         };
         let all: Vec<_> = usable(request.stage.is_some()).collect();
--- a/crates/core/src/gateway/roles.rs
+++ b/crates/core/src/gateway/roles.rs
@@ -14,6 +14,9 @@
     pub prefill_part: f64,
     /// Engines that should generate answers at least.
     pub min_decode: usize,
+    /// Engines by which the distribution may be off. A change takes an engine out for seconds, longer
+    /// if it generates answers, so one engine more or less is not worth it.
+    pub tolerance: usize,
 }
 
 impl Default for RolePolicy {
@@ -21,6 +24,7 @@
         Self {
             prefill_part: 0.55,
             min_decode: 2,
+            tolerance: 1,
         }
     }
 }
@@ -44,6 +48,9 @@
     let wanted = (count as f64 * policy.prefill_part).round() as usize;
     let wanted = wanted.clamp(1, count - policy.min_decode.max(1));
     let present = of_stage(&engines, Stage::Prefill).len();
+    if wanted.abs_diff(present) <= policy.tolerance && present > 0 {
+        return SmallVec::new();
+    }
     let (from, to, changes) = match wanted > present {
         true => (Stage::Decode, Stage::Prefill, wanted - present),
         false => (Stage::Prefill, Stage::Decode, present - wanted),
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -4,6 +4,7 @@
 
 use super::{Beat, Known, Membership, Record, VmState};
 use crate::VmId;
+use crate::authority::mix;
 
 impl Membership {
     /// Takes a record over if it is newer. Returns whether it was.
@@ -191,6 +192,13 @@
     }
 }
 
+/// Whether `vm` is among the first `count` of `vms` in an order that all vms compute alike.
+pub fn is_among_first(vm: VmId, vms: &[VmId], count: usize) -> bool {
+    let weight = |vm: VmId| (mix(u64::from(vm.0)), vm);
+    let own = weight(vm);
+    vms.iter().filter(|other| weight(**other) < own).count() < count
+}
+
 impl Known {
     fn new(record: Record, now: Duration, listed: bool) -> Self {
         Self {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -4,7 +4,7 @@
 
 use jujubebeam_core::Machine;
 use jujubebeam_core::gateway::MirrorDelta;
-use jujubebeam_core::membership::{Event, Record, VmState};
+use jujubebeam_core::membership::{Event, Record, VmState, is_among_first};
 use jujubebeam_core::quarantine::QuarantineEvent;
 use jujubebeam_core::store::{Expected, LeaseId, StoreOp, StoreReply};
 use ntex::time::sleep;
@@ -28,6 +28,13 @@
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
+/// Vms that follow the store. A third of all vms may be turned away by the store at once, and eight
+/// leave one of them with probability 0.9998.
+const WATCHERS: usize = 8;
+
+/// Time between two looks whether this vm has become one of them.
+const WATCHER_CHECK: Duration = Duration::from_millis(500);
+
 /// First pause after the store failed, doubled up to the longest.
 const STORE_RETRY_FIRST: Duration = Duration::from_millis(100);
 
@@ -122,6 +129,10 @@
     let mut is_lost = false;
     let mut must_list = true;
     loop {
+        if !must_list && !is_watcher(context) {
+            sleep(WATCHER_CHECK).await;
+            continue;
+        }
         let result = match must_list {
             true => relist(context, copy, prefix).await,
             false => follow(context, copy, prefix).await,
@@ -157,6 +168,14 @@
     }
 }
 
+/// Whether this vm follows the store. In a large fleet some vms do and tell the others, so the calls
+/// do not grow with the fleet.
+fn is_watcher<E: Edges>(context: &Context<E>) -> bool {
+    let shared = &context.shared;
+    let live = shared.membership().live(shared.now());
+    is_among_first(shared.vm, &live, WATCHERS)
+}
+
 async fn relist<E: Edges>(context: &Context<E>, copy: Copy, prefix: &str) -> Result<bool, String> {
     let op = StoreOp::List {
         prefix: prefix.to_owned(),
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -21,8 +21,11 @@
 use crate::peers;
 use crate::server::Context;
 
+/// Time in which a message reaches the other vms of a zone or two.
+const TELL_TIME: Duration = Duration::from_millis(30);
+
 /// Time for one order; the lease must hold for as long.
-const ORDER_TIME: Duration = Duration::from_millis(700);
+const ORDER_TIME: Duration = Duration::from_millis(750);
 
 /// Time after which an engine that has not changed its stage is ordered again.
 const ORDER_AGAIN: Duration = Duration::from_secs(8);
@@ -201,6 +204,15 @@
             let Some(found) = found else {
                 return SendResult::Rejected;
             };
+            // All vms keep new work away before the engine begins to refuse it.
+            let now = shared.now();
+            shared.fleet().changes_stage(target, *stage, now);
+            let message = Message::Changing {
+                target: target.to_owned(),
+                stage: *stage,
+            };
+            peers::tell_all(context, &message);
+            sleep(TELL_TIME).await;
             client.order_stage(holder, fence, &found, *stage).await
         }
         Order::Count(order) => client.order_count(holder, fence, order).await,
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between vms.
 
-use jujubebeam_core::gateway::{MirrorDelta, WindowCounts};
+use jujubebeam_core::gateway::{MirrorDelta, Stage, WindowCounts};
 use jujubebeam_core::quarantine::QuarantineMessage;
 use jujubebeam_core::{Revision, membership};
 use serde::{Deserialize, Serialize};
@@ -38,6 +38,13 @@
         /// Counts of the sender.
         counts: WindowCounts,
     },
+    /// An engine was ordered to take another stage.
+    Changing {
+        /// The engine.
+        target: String,
+        /// The stage.
+        stage: Stage,
+    },
     /// A target died under a request, or a suspect gave a whole answer.
     Quarantine(QuarantineMessage),
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -130,6 +130,10 @@
         }
         // Answers to `Collect` are read where the question was asked.
         Message::Counts { .. } => {}
+        Message::Changing { target, stage } => {
+            let now = shared.now();
+            shared.fleet().changes_stage(&target, stage, now);
+        }
         Message::Quarantine(message) => {
             let mut commands = Vec::new();
             shared
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,7 @@
 use jujubebeam_core::authority::{Authority, AuthorityConfig, Holder};
 use jujubebeam_core::gateway::{
     Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, GatewaySettings, Mirror,
-    PlacementConfig, Placer, TrueTime, UsageWindows,
+    PlacementConfig, Placer, Stage, TrueTime, UsageWindows,
 };
 use jujubebeam_core::membership::{Membership, MembershipConfig, Record};
 use jujubebeam_core::quarantine::{Quarantine, QuarantineConfig};
@@ -25,6 +25,15 @@
     pub(crate) placer: Placer,
 }
 
+impl Fleet {
+    /// An engine was ordered to take a stage.
+    pub(crate) fn changes_stage(&mut self, target: &str, stage: Stage, now: Duration) {
+        if let Some(key) = self.catalog.key_of(target) {
+            self.placer.changes_stage(key, stage, now);
+        }
+    }
+}
+
 /// Copies of the store.
 #[derive(Debug, Default)]
 pub(crate) struct Mirrors {
@@ -88,6 +97,13 @@
             // Some callers keep an address three times as long; the rest of the grace period is for
             // what still runs.
             linger: (lifetime * 2).min(grace.mul_f64(0.75).saturating_sub(lifetime)),
+            // Callers must not be sent to a vm that is off for longer than about 4 s, in fleets of
+            // dozens of vms too; the messages stay below 4 KB/s.
+            heartbeat_per_vm: Duration::from_millis(20),
+            missed_heartbeats: 2,
+            gossip_allowance: Duration::from_millis(1500),
+            slow_above: 128,
+            max_records: 64,
             ..MembershipConfig::new(record)
         };
         let placement = PlacementConfig {
