--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -31,4 +31,4 @@
     ServiceShare, TenantIndex,
 };
 pub use true_time::TrueTime;
-pub use usage_window::{UsageWindows, WindowCounts};
+pub use usage_window::{RunCounts, UsageWindows, WindowCounts};
--- a/crates/core/src/gateway/usage_window.rs
+++ b/crates/core/src/gateway/usage_window.rs
@@ -1,10 +1,15 @@
 //! Requests that began to run, by tenant and window of true time.
+//!
+//! Each run of a vm counts its own requests and passes copies to others, so that little is lost with
+//! a vm that dies before its window is collected.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::authority::Holder;
+
 /// Windows that are kept after their end. A window is reported within two lengths of its end.
 const KEPT_WINDOWS: u64 = 6;
 
@@ -13,6 +18,11 @@
 pub struct WindowCounts(pub BTreeMap<String, u64>);
 
 impl WindowCounts {
+    /// Number of requests.
+    pub fn total(&self) -> u64 {
+        self.0.values().sum()
+    }
+
     /// Adds the counts of another vm.
     pub fn add(&mut self, other: &Self) {
         for (tenant, count) in &other.0 {
@@ -21,18 +31,31 @@
     }
 }
 
-/// Counts of one vm.
+/// Counts of one run of a vm in one window. They only grow, so the larger of two copies is newer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunCounts {
+    /// The run.
+    pub holder: Holder,
+    /// Number of the window.
+    pub window: u64,
+    /// Its requests.
+    pub counts: WindowCounts,
+}
+
+/// Counts of this vm, and copies of the counts of others.
 #[derive(Debug)]
 pub struct UsageWindows {
     length: Duration,
-    windows: BTreeMap<u64, WindowCounts>,
+    me: Holder,
+    windows: BTreeMap<u64, BTreeMap<Holder, WindowCounts>>,
 }
 
 impl UsageWindows {
     /// Creates empty counts for windows of this length.
-    pub fn new(length: Duration) -> Self {
+    pub fn new(length: Duration, me: Holder) -> Self {
         Self {
             length: length.max(Duration::from_millis(1)),
+            me,
             windows: BTreeMap::new(),
         }
     }
@@ -50,19 +73,68 @@
     /// Counts a request that began to run.
     pub fn count(&mut self, tenant: &str, true_time: Duration) {
         let window = self.window_at(true_time);
-        let counts = self.windows.entry(window).or_default();
+        let runs = self.windows.entry(window).or_default();
+        let counts = runs.entry(self.me).or_default();
         match counts.0.get_mut(tenant) {
             Some(count) => *count += 1,
             None => {
                 counts.0.insert(tenant.to_owned(), 1);
             }
         }
-        let oldest = window.saturating_sub(KEPT_WINDOWS);
-        self.windows.retain(|number, _| *number >= oldest);
+        self.forget_before(window.saturating_sub(KEPT_WINDOWS));
     }
 
-    /// Counts of a window.
+    /// Takes over a copy of the counts of another run, unless a newer one is known.
+    pub fn merge(&mut self, copy: RunCounts) {
+        if copy.holder == self.me {
+            return;
+        }
+        let newest = self.windows.keys().next_back().copied();
+        if newest.is_some_and(|newest| copy.window + KEPT_WINDOWS < newest) {
+            return;
+        }
+        let runs = self.windows.entry(copy.window).or_default();
+        let known = runs.entry(copy.holder).or_default();
+        if known.total() < copy.counts.total() {
+            *known = copy.counts;
+        }
+    }
+
+    /// Own counts of the newest windows, for copies.
+    pub fn own_newest(&self, windows: usize) -> Vec<RunCounts> {
+        let newest = self.windows.iter().rev().take(windows);
+        newest
+            .filter_map(|(window, runs)| {
+                Some(RunCounts {
+                    holder: self.me,
+                    window: *window,
+                    counts: runs.get(&self.me)?.clone(),
+                })
+            })
+            .collect()
+    }
+
+    /// All that is known of a window.
+    pub fn runs(&self, window: u64) -> Vec<RunCounts> {
+        let runs = self.windows.get(&window).into_iter().flatten();
+        runs.map(|(holder, counts)| RunCounts {
+            holder: *holder,
+            window,
+            counts: counts.clone(),
+        })
+        .collect()
+    }
+
+    /// Counts of a window over all runs that are known.
     pub fn counts(&self, window: u64) -> WindowCounts {
-        self.windows.get(&window).cloned().unwrap_or_default()
+        let mut sum = WindowCounts::default();
+        for counts in self.windows.get(&window).into_iter().flat_map(BTreeMap::values) {
+            sum.add(counts);
+        }
+        sum
+    }
+
+    fn forget_before(&mut self, oldest: u64) {
+        self.windows.retain(|number, _| *number >= oldest);
     }
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -25,6 +25,9 @@
 /// rounds, well inside the 2 s in which settings must be in force.
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Newest windows of which usage counts are copied.
+const COPIED_WINDOWS: usize = 2;
+
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
@@ -322,6 +325,8 @@
 async fn ask<E: Edges>(context: &Context<E>) {
     let shared = &context.shared;
     let mut round = u64::from(shared.vm.0) ^ shared.incarnation.0;
+    // Copies go with every second question: at most 0.5 s of a vm's counts are lost with it.
+    let mut copies = false;
     loop {
         let others = peers::others(context);
         round = round
@@ -329,14 +334,19 @@
             .wrapping_add(1_442_695_040_888_963_407);
         if !others.is_empty() {
             let to = others[(round >> 33) as usize % others.len()];
-            let message = {
+            let mut messages = vec![{
                 let mirrors = shared.mirrors();
                 Message::Ask {
                     settings: mirrors.settings.complete(),
                     targets: mirrors.targets.complete(),
                 }
-            };
-            peers::send(context, to, vec![message]);
+            }];
+            copies = !copies;
+            if copies {
+                let newest = shared.usage().windows.own_newest(COPIED_WINDOWS);
+                messages.push(Message::Counts(newest));
+            }
+            peers::send(context, to, messages);
         }
         sleep(ASK_INTERVAL).await;
     }
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -312,7 +312,6 @@
 
 async fn collect<E: Edges>(context: &Context<E>, window: u64) -> WindowCounts {
     let shared = &context.shared;
-    let mut sum = shared.usage().windows.counts(window);
     let mut missing = peers::others(context);
     for _ in 0..COLLECT_ROUNDS {
         let questions = missing.iter().map(|vm| async move {
@@ -321,16 +320,11 @@
         });
         let answers = join_all(questions).await;
         for (vm, answer) in answers {
-            let counts = answer
-                .into_iter()
-                .flatten()
-                .find_map(|message| match message {
-                    Message::Counts { window: w, counts } if w == window => Some(counts),
-                    _ => None,
-                });
-            if let Some(counts) = counts {
-                sum.add(&counts);
-                missing.retain(|other| *other != vm);
+            for message in answer.into_iter().flatten() {
+                if let Message::Counts(copies) = message {
+                    peers::merge_counts(context, copies);
+                    missing.retain(|other| *other != vm);
+                }
             }
         }
         if missing.is_empty() {
@@ -347,7 +341,7 @@
             ),
         );
     }
-    sum
+    shared.usage().windows.counts(window)
 }
 
 /// Feeds the lease machine and performs its commands.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between vms.
 
-use jujubebeam_core::gateway::{MirrorDelta, Stage, WindowCounts};
+use jujubebeam_core::gateway::{MirrorDelta, RunCounts, Stage};
 use jujubebeam_core::quarantine::QuarantineMessage;
 use jujubebeam_core::{Revision, membership};
 use serde::{Deserialize, Serialize};
@@ -31,13 +31,8 @@
         /// The window.
         window: u64,
     },
-    /// Answers `Collect`.
-    Counts {
-        /// The window.
-        window: u64,
-        /// Counts of the sender.
-        counts: WindowCounts,
-    },
+    /// Answers `Collect` with all that the sender knows, or passes copies on unasked.
+    Counts(Vec<RunCounts>),
     /// An engine was ordered to take another stage.
     Changing {
         /// The engine.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,6 @@
 //! Messages to and from other vms.
 
+use jujubebeam_core::gateway::RunCounts;
 use jujubebeam_core::membership::{Command, Event};
 use jujubebeam_core::quarantine::QuarantineEvent;
 use jujubebeam_core::{Machine, VmId};
@@ -123,13 +124,9 @@
             control::merge(context, settings, targets);
         }
         Message::Collect { window } => {
-            return Some(Message::Counts {
-                window,
-                counts: shared.usage().windows.counts(window),
-            });
+            return Some(Message::Counts(shared.usage().windows.runs(window)));
         }
-        // Answers to `Collect` are read where the question was asked.
-        Message::Counts { .. } => {}
+        Message::Counts(copies) => merge_counts(context, copies),
         Message::Changing { target, stage } => {
             let now = shared.now();
             shared.fleet().changes_stage(&target, stage, now);
@@ -144,6 +141,14 @@
     None
 }
 
+/// Takes over copies of usage counts.
+pub(crate) fn merge_counts<E: Edges>(context: &Context<E>, copies: Vec<RunCounts>) {
+    let mut usage = context.shared.usage();
+    for copy in copies {
+        usage.windows.merge(copy);
+    }
+}
+
 /// Feeds the membership machine and performs its commands. A message to the sender of the event is
 /// returned so that it travels back in the same exchange.
 pub(crate) fn feed_membership<E: Edges>(context: &Context<E>, event: Event) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -12,7 +12,7 @@
 use ntex::SharedCfg;
 use ntex::client::Client;
 use ntex::http::{HttpServiceConfig, KeepAlive};
-use ntex::time::{Seconds, sleep};
+use ntex::time::{Millis, Seconds, sleep, timeout};
 use ntex::web::types::PayloadConfig;
 use ntex::web::{self, App};
 use tokio::signal::unix::{SignalKind, signal};
@@ -42,7 +42,10 @@
 const CLEAN_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Part of the grace period that is left for closing listeners.
-const CLOSING_TIME: Duration = Duration::from_millis(600);
+const CLOSING_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time for closing the connections of callers.
+const CLOSING_LIMIT: Millis = Millis(300);
 
 /// What a thread needs to act. Clones share the clients.
 pub(crate) struct Context<E: Edges> {
@@ -159,8 +162,11 @@
     .run();
 
     drain_on_signal(&context).await?;
-    caller_server.stop(true).await;
-    control_server.stop(false).await;
+    // Idle connections of callers would hold the process until it is killed.
+    if timeout(CLOSING_LIMIT, caller_server.stop(true)).await.is_err() {
+        log::info!("event=closing vm={} outcome=callers_still_connected", shared.vm);
+    }
+    drop(control_server);
     log::info!("event=stop vm={}", shared.vm);
     Ok(())
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -135,7 +135,7 @@
             budget: Mutex::new(ArrivalBudget::new(budget)),
             admission: Mutex::default(),
             usage: Mutex::new(UsageState {
-                windows: UsageWindows::new(usage_window),
+                windows: UsageWindows::new(usage_window, Holder { vm, incarnation }),
                 true_time: TrueTime::default(),
             }),
             membership: Mutex::new(Membership::new(membership)),
