--- a/crates/core/src/gateway/outcome.rs
+++ b/crates/core/src/gateway/outcome.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use strum::{Display, IntoStaticStr};
+
 /// Whether a request may run again after a target may have run it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeatability {
@@ -15,7 +17,8 @@
 }
 
 /// How an attempt ended, if not with an answer that is passed on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum AttemptEnd {
     /// No byte of the request left this vm.
     NotSent,
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use smallvec::SmallVec;
+use strum::{Display, IntoStaticStr};
 
 /// Position of a tenant in [`GatewaySettings::tenants`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TenantIndex(pub u32);
 
 /// What may be repeated on a route.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum RequestKind {
     /// The request may run more than once.
     Idempotent,
--- a/crates/core/src/gateway/usage_window.rs
+++ b/crates/core/src/gateway/usage_window.rs
@@ -128,7 +128,12 @@
     /// Counts of a window over all runs that are known.
     pub fn counts(&self, window: u64) -> WindowCounts {
         let mut sum = WindowCounts::default();
-        for counts in self.windows.get(&window).into_iter().flat_map(BTreeMap::values) {
+        for counts in self
+            .windows
+            .get(&window)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+        {
             sum.add(counts);
         }
         sum
--- /dev/null
+++ b/crates/core/tests/gateway_decisions.rs
@@ -0,0 +1,480 @@
+//! Decisions of the gateway, without a network. Each test names the failure that it guards against.
+
+use std::time::Duration;
+
+use jujubebeam_core::authority::Holder;
+use jujubebeam_core::gateway::*;
+use jujubebeam_core::store::Entry;
+use jujubebeam_core::{Incarnation, Revision, VmId};
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn target(id: &str, stage: Option<Stage>) -> CatalogTarget {
+    CatalogTarget {
+        id: id.into(),
+        service: "s".into(),
+        address: "10.0.0.1:80".into(),
+        zone: "a".into(),
+        slots: 16,
+        phase: TargetPhase::Ready,
+        stage,
+        is_reclaimable: false,
+        born_ms: 1,
+    }
+}
+
+fn catalog(targets: Vec<CatalogTarget>) -> Catalog {
+    let mut catalog = Catalog::default();
+    catalog.update(targets, Duration::ZERO, Duration::ZERO);
+    catalog
+}
+
+fn entry(key: &str, value: &str, revision: u64) -> Entry {
+    Entry {
+        key: key.into(),
+        value: value.into(),
+        created: Revision(revision),
+        modified: Revision(revision),
+    }
+}
+
+fn item(key: &str, value: Option<&str>, revision: u64) -> MirrorItem {
+    MirrorItem {
+        key: key.into(),
+        revision: Revision(revision),
+        value: value.map(|v| v.as_bytes().to_vec()),
+    }
+}
+
+fn contents(mirror: &Mirror) -> Vec<(String, Vec<u8>)> {
+    let items = mirror.items();
+    items.map(|(k, _, v)| (k.to_owned(), v.to_vec())).collect()
+}
+
+/// Guards against a vm that goes back to an older state because a slow peer tells it so.
+#[test]
+fn a_copy_never_goes_back() {
+    let mut behind = Mirror::default();
+    behind.replace(vec![entry("k", "old", 3)], Revision(3));
+    let old = behind.delta(None).unwrap();
+    let mut ahead = Mirror::default();
+    ahead.replace(vec![entry("k", "old", 3)], Revision(3));
+    ahead.advance(vec![item("k", Some("new"), 5)], Revision(5));
+    ahead.merge(old);
+    assert_eq!(contents(&ahead), [("k".to_owned(), b"new".to_vec())]);
+    assert_eq!(ahead.complete(), Some(Revision(5)));
+}
+
+/// Guards against a removed target that a peer's copy brings back.
+#[test]
+fn a_removal_reaches_a_peer() {
+    let mut first = Mirror::default();
+    first.replace(vec![entry("a", "1", 1), entry("b", "1", 2)], Revision(2));
+    let mut second = first.clone();
+    first.advance(vec![item("a", None, 4)], Revision(4));
+    second.merge(first.delta(second.complete()).unwrap());
+    assert_eq!(contents(&second), [("b".to_owned(), b"1".to_vec())]);
+    assert!(first.delta(second.complete()).is_none());
+}
+
+proptest! {
+    /// Guards against copies that differ after they heard the same changes in other ways: from the
+    /// store, from peers with partial copies, or from a new listing.
+    #[test]
+    fn copies_agree_however_they_learn(
+        changes in proptest::collection::vec((0u8..5, proptest::option::of(0u8..9)), 1..40),
+        cut in 0usize..40,
+    ) {
+        let events: Vec<_> = changes.iter().enumerate().map(|(i, (key, value))| {
+            let value = value.map(|v| v.to_string());
+            item(&format!("k{key}"), value.as_deref(), i as u64 + 2)
+        }).collect();
+        let cut = cut.min(events.len());
+        let mut watcher = Mirror::default();
+        watcher.replace(Vec::new(), Revision(1));
+        let mut follower = watcher.clone();
+        for (i, event) in events.iter().enumerate() {
+            watcher.advance(vec![event.clone()], event.revision);
+            if i == cut && let Some(delta) = watcher.delta(follower.complete()) {
+                follower.merge(delta);
+            }
+        }
+        if let Some(delta) = watcher.delta(follower.complete()) {
+            follower.merge(delta);
+        }
+        let mut lister = Mirror::default();
+        let entries = watcher.items().map(|(k, r, v)| entry(k, std::str::from_utf8(v).unwrap(), r.0));
+        lister.replace(entries.collect(), watcher.complete().unwrap());
+        prop_assert_eq!(contents(&watcher), contents(&follower));
+        prop_assert_eq!(contents(&watcher), contents(&lister));
+    }
+
+    /// Guards against a promise "not run" after a byte may have left, and against a second run of a
+    /// request that may run once.
+    #[test]
+    fn a_refusal_says_not_run_only_if_it_is_true(
+        ends in proptest::collection::vec(0u8..4, 1..12),
+        kind in 0u8..3,
+        attempts in 1u32..4,
+    ) {
+        let repeatability = [
+            Repeatability::Idempotent,
+            Repeatability::Once,
+            Repeatability::Resumable,
+        ][usize::from(kind)];
+        let mut progress = RequestProgress::new(repeatability, attempts);
+        let mut possible_runs = 0;
+        let mut arrivals = 0;
+        for end in ends {
+            let end = [
+                AttemptEnd::NotSent,
+                AttemptEnd::NotRun,
+                AttemptEnd::Broken,
+                AttemptEnd::BrokenMidway,
+            ][usize::from(end)];
+            possible_runs += u32::from(matches!(end, AttemptEnd::Broken | AttemptEnd::BrokenMidway));
+            arrivals += u32::from(end != AttemptEnd::NotSent);
+            let step = progress.ended(end);
+            if let NextStep::Answer(answer) = step {
+                let promises = matches!(answer, FinalAnswer::NotRun { .. });
+                prop_assert!(!promises || possible_runs == 0);
+                break;
+            }
+            prop_assert!(repeatability != Repeatability::Once || possible_runs == 0);
+            prop_assert!(arrivals < attempts || arrivals == 0);
+        }
+    }
+
+    /// Guards against vms that together send more repeats than the budget in any window.
+    #[test]
+    fn the_vms_together_stay_within_the_budget(
+        seeds in proptest::collection::vec((0u8..4, 0u16..400, any::<bool>()), 1..400),
+    ) {
+        let config = ArrivalBudgetConfig { allowance: 20.0, ..ArrivalBudgetConfig::default() };
+        let mut vms: Vec<_> = (0..4).map(|_| ArrivalBudget::new(config)).collect();
+        let (mut requests, mut extras) = (Vec::new(), Vec::new());
+        let mut now = Duration::ZERO;
+        for (vm, pause_ms, is_repeat) in seeds {
+            now += ms(u64::from(pause_ms));
+            let budget = &mut vms[usize::from(vm)];
+            if !is_repeat {
+                budget.request("s", now);
+                requests.push(now);
+            } else if budget.take("s", 4, now) {
+                extras.push(now);
+            }
+            let window = |times: &[Duration]| {
+                times.iter().filter(|t| **t + config.window > now).count() as f64
+            };
+            prop_assert!(window(&extras) <= config.ratio * window(&requests) + config.allowance);
+        }
+    }
+}
+
+fn engines() -> Catalog {
+    let decode = (0..3).map(|i| target(&format!("d{i}"), Some(Stage::Decode)));
+    let prefill = (0..3).map(|i| target(&format!("p{i}"), Some(Stage::Prefill)));
+    catalog(decode.chain(prefill).collect())
+}
+
+const PROMPT: [PromptPart; 3] = [
+    PromptPart {
+        id: 1,
+        tokens: 2520,
+    },
+    PromptPart {
+        id: 2,
+        tokens: 3780,
+    },
+    PromptPart {
+        id: 3,
+        tokens: 2890,
+    },
+];
+
+fn request<'a>(parts: &'a [PromptPart], wait_ms: u64) -> PlaceRequest<'a> {
+    PlaceRequest {
+        service: "s",
+        stage: Some(Stage::Decode),
+        parts,
+        excluded: &[],
+        longest_wait: ms(wait_ms),
+    }
+}
+
+/// Guards against vms that send one subject to different engines, where none keeps it.
+#[test]
+fn all_vms_choose_the_same_home() {
+    let catalog = engines();
+    let homes: Vec<_> = (0..4)
+        .map(|_| {
+            let mut placer = Placer::new(PlacementConfig::default());
+            match placer.place_engine(&catalog, &request(&PROMPT, 100), SECOND) {
+                Ok(EnginePath::Split(placed)) => placed.target.id,
+                other => panic!("a long prompt is computed apart, not {other:?}"),
+            }
+        })
+        .collect();
+    assert!(homes.iter().all(|home| *home == homes[0]), "{homes:?}");
+}
+
+/// Guards against a short prompt that pays for a hand-over.
+#[test]
+fn a_short_prompt_stays_at_one_engine() {
+    let parts = [
+        PromptPart { id: 1, tokens: 48 },
+        PromptPart { id: 3, tokens: 141 },
+    ];
+    let mut placer = Placer::new(PlacementConfig::default());
+    let path = placer.place_engine(&engines(), &request(&parts, 100), SECOND);
+    assert!(matches!(path, Ok(EnginePath::Direct(_))), "{path:?}");
+}
+
+/// Guards against a burst in which every request is sent and every answer is late: 300 prompts that
+/// arrive at once at one vm are answered within the bound or refused with a time.
+#[test]
+fn a_burst_is_refused_beyond_what_is_answered_in_time() {
+    let catalog = engines();
+    let mut placer = Placer::new(PlacementConfig::default());
+    let (mut sent, mut refused) = (0, 0);
+    for subject in 0..300 {
+        let parts = [
+            PROMPT[0],
+            PromptPart {
+                id: 1000 + subject,
+                tokens: 3780,
+            },
+            PROMPT[2],
+        ];
+        match placer.place_engine(&catalog, &request(&parts, 80), SECOND) {
+            Ok(_) => sent += 1,
+            Err(RefusedPlace::Overloaded { retry_after }) => {
+                assert!(retry_after >= ms(400));
+                refused += 1;
+            }
+            Err(RefusedPlace::NoTarget) => panic!("there are engines"),
+        }
+    }
+    // Three prefill engines compute about 8 whole prompts each in 80 ms and what they have begun,
+    // and the decode engines a few each.
+    assert!((15..=60).contains(&sent), "{sent} sent, {refused} refused");
+}
+
+/// Guards against long prompts that are never served because their own work exceeds the bound.
+#[test]
+fn a_long_prompt_is_served_by_an_idle_engine() {
+    let parts = [PromptPart {
+        id: 9,
+        tokens: 39_600,
+    }];
+    let mut placer = Placer::new(PlacementConfig::default());
+    assert!(
+        placer
+            .place_engine(&engines(), &request(&parts, 80), SECOND)
+            .is_ok()
+    );
+}
+
+/// Guards against work for an engine that refuses because it changes its stage, which wasted the
+/// prompts that had been computed for it.
+#[test]
+fn an_engine_that_changes_its_stage_gets_no_work() {
+    let mut catalog = catalog(vec![target("d0", Some(Stage::Decode))]);
+    let key = catalog.key_of("d0").unwrap();
+    let mut placer = Placer::new(PlacementConfig::default());
+    placer.changes_stage(key, Stage::Prefill, SECOND);
+    let refused = placer.place(&catalog, &request(&PROMPT, 100), SECOND);
+    assert_eq!(refused.unwrap_err(), RefusedPlace::NoTarget);
+    catalog.update(
+        vec![target("d0", Some(Stage::Prefill))],
+        Duration::ZERO,
+        SECOND * 2,
+    );
+    let prefill = PlaceRequest {
+        stage: Some(Stage::Prefill),
+        ..request(&PROMPT, 100)
+    };
+    assert!(placer.place(&catalog, &prefill, SECOND * 2).is_ok());
+}
+
+/// Guards against a failing target that gets every second request for as long as its health is good.
+#[test]
+fn a_target_that_fails_its_requests_is_avoided() {
+    let catalog = catalog(vec![target("a", None), target("b", None)]);
+    let mut placer = Placer::new(PlacementConfig::default());
+    let request = PlaceRequest {
+        stage: None,
+        ..request(&[], 1000)
+    };
+    let (mut now, mut failing) = (SECOND, 0);
+    for _ in 0..200 {
+        now += ms(10);
+        let placed = placer.place(&catalog, &request, now).unwrap();
+        if placed.target.id == "a" {
+            failing += 1;
+            placer.failed(&placed, now);
+        } else {
+            placer.first_byte(&placed, None, now);
+        }
+        placer.finished(&placed, now);
+    }
+    assert!(
+        failing <= 20,
+        "{failing} of 200 requests went to the failing target"
+    );
+}
+
+/// Guards against targets that are dropped because the store forgot their entries while it was away,
+/// and against targets that are kept although they have left.
+#[test]
+fn a_missing_target_is_kept_only_while_it_may_come_back() {
+    let mut catalog = catalog(vec![target("a", None)]);
+    let key = catalog.key_of("a").unwrap();
+    catalog.update(Vec::new(), SECOND * 2, SECOND);
+    catalog.forget_gone(SECOND * 2);
+    assert!(catalog.get(key).is_some());
+    catalog.forget_gone(SECOND * 3);
+    assert!(catalog.get(key).is_none());
+    let mut catalog = self::catalog(vec![target("a", None)]);
+    catalog.update(Vec::new(), Duration::ZERO, SECOND);
+    assert!(catalog.key_of("a").is_none());
+}
+
+/// Guards against a restarted target that is taken for its earlier run, with its memory and load.
+#[test]
+fn a_new_run_under_the_same_id_is_another_target() {
+    let mut catalog = catalog(vec![target("a", None)]);
+    let first = catalog.key_of("a").unwrap();
+    let restarted = CatalogTarget {
+        born_ms: 2,
+        ..target("a", None)
+    };
+    catalog.update(vec![restarted], Duration::ZERO, SECOND);
+    assert_ne!(catalog.key_of("a"), Some(first));
+    assert!(catalog.get(first).is_none());
+}
+
+/// Guards against a wall clock that jumps and moves requests into another usage window.
+#[test]
+fn true_time_ignores_jumps_on_a_minority_of_vms() {
+    let wall = Duration::from_secs(1_000_000);
+    let mut time = TrueTime::default();
+    time.own_clock(wall + SECOND, SECOND);
+    for vm in 1..5 {
+        time.peer_clock(VmId(vm), wall + SECOND, SECOND);
+    }
+    time.own_clock(wall + SECOND * 2 + ms(2400), SECOND * 2);
+    time.peer_clock(VmId(1), wall + SECOND * 2 - ms(2400), SECOND * 2);
+    assert_eq!(time.now(SECOND * 2), wall + SECOND * 2);
+}
+
+/// Guards against usage that is lost with a vm that was killed, and against a copy that counts twice.
+#[test]
+fn copies_of_usage_counts_survive_their_vm() {
+    let holder = |vm, run| Holder {
+        vm: VmId(vm),
+        incarnation: Incarnation(run),
+    };
+    let window = SECOND * 5;
+    let mut killed = UsageWindows::new(window, holder(1, 1));
+    let mut reporter = UsageWindows::new(window, holder(2, 1));
+    reporter.count("t", SECOND);
+    killed.count("t", SECOND);
+    let early = killed.own_newest(2);
+    killed.count("t", SECOND * 2);
+    for copy in killed.own_newest(2).into_iter().chain(early) {
+        reporter.merge(copy.clone());
+        reporter.merge(copy);
+    }
+    assert_eq!(reporter.counts(0).total(), 3);
+}
+
+/// Guards against a burst in which callers that return late take the room of those that can still be
+/// answered in time.
+#[test]
+fn a_returning_caller_waits_for_less_than_a_new_one() {
+    let mut admission = Admission::default();
+    let mut wait = |deadline_ms| {
+        let deadline = Some(ms(deadline_ms));
+        admission.longest_wait("r", ms(100), deadline, ms(deadline_ms))
+    };
+    let new = wait(2000);
+    let returned = wait(1400);
+    assert!(returned < new && returned > Duration::ZERO);
+    assert_eq!(wait(2000), new);
+}
+
+/// Guards against a fleet whose prompts wait while its decode engines idle, and against orders for
+/// an imbalance that is not worth the seconds they cost.
+#[test]
+fn stages_are_ordered_only_beyond_the_tolerance() {
+    let engines = |prefill: usize| {
+        let targets = (0..9).map(|i| {
+            let stage = if i < prefill {
+                Stage::Prefill
+            } else {
+                Stage::Decode
+            };
+            target(&format!("e{i}"), Some(stage))
+        });
+        catalog(targets.collect())
+    };
+    let policy = RolePolicy::default();
+    let changes = stage_changes(&engines(2), "s", policy);
+    assert_eq!(changes.len(), 3);
+    assert!(changes.iter().all(|(_, stage)| *stage == Stage::Prefill));
+    assert!(stage_changes(&engines(4), "s", policy).is_empty());
+    assert!(stage_changes(&engines(5), "s", policy).is_empty());
+}
+
+/// Guards against reclaimable engines beyond the limit of a zone, and against an order that is
+/// repeated before the engines can have started.
+#[test]
+fn reclaimable_engines_are_ordered_within_the_limit() {
+    let service = Service {
+        name: "s".into(),
+        scaling: Some(ScalingLimits {
+            max_per_zone: 4,
+            start_time: SECOND * 4,
+            has_reclaimable: true,
+            zones: vec!["a".into(), "b".into()],
+        }),
+        ..Service::default()
+    };
+    let catalog = catalog((0..3).map(|i| target(&format!("e{i}"), None)).collect());
+    let mut scaler = Scaler::default();
+    let policy = ScalePolicy::default();
+    let mut next = |now| scaler.next_order(&catalog, &service, policy, now);
+    let order = next(SECOND).unwrap();
+    assert_eq!((order.zone.as_str(), order.count), ("a", 1));
+    assert_eq!(next(SECOND * 2), None);
+    assert_eq!(next(SECOND * 7), Some(order));
+}
+
+/// Guards against a request that goes to the route of a shorter prefix or another host.
+#[test]
+fn the_longest_prefix_of_the_host_is_chosen() {
+    let route = |name: &str, host: &str, prefix: &str| HostRoute {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        ..HostRoute::default()
+    };
+    let mut settings = GatewaySettings::new(1);
+    settings.routes = vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/z/"),
+    ];
+    let settings = settings.index();
+    let name = |host, path| settings.route(host, path).map(|r| r.name.as_str());
+    assert_eq!(name("A.example:80", "/x/y/z/1"), Some("long"));
+    assert_eq!(name("a.example", "/x/1"), Some("short"));
+    assert_eq!(name("a.example", "/x"), None);
+    assert_eq!(name("c.example", "/x/1"), None);
+}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -72,6 +72,9 @@
     pub addresses: SocketAddr,
     /// Other vms.
     pub peers: SocketAddr,
+    /// Metrics as text; without it none are served.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
 }
 
 /// A duty that one vm at a time performs.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -153,6 +153,7 @@
                 }
             }
             Err(reason) => {
+                shared.metrics.store_failures.inc();
                 if !std::mem::replace(&mut is_lost, true) {
                     shared.journal.write(
                         LineKind::Dependency,
@@ -311,6 +312,7 @@
         fleet.catalog.update(entries, hold, now);
     }
     shared.set_has_targets();
+    shared.metrics.targets.set(count as i64);
     shared.journal.write(
         LineKind::Targets,
         now,
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -217,6 +217,7 @@
         }
         Order::Count(order) => client.order_count(holder, fence, order).await,
     };
+    shared.metrics.duty("order", result == SendResult::Accepted);
     shared.journal.write(
         LineKind::Duty,
         shared.now(),
@@ -271,6 +272,7 @@
             counts.0.values().sum::<u64>()
         ),
     );
+    shared.metrics.duty("usage", result == DutyResult::Accepted);
     let is_final = match result {
         DutyResult::Accepted => true,
         DutyResult::Refused(status) => status != 429 && status < 500,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -419,6 +419,8 @@
     fn drop(&mut self) {
         if !self.is_done {
             let (id, age) = (&self.job.incoming.attempt_id, self.job.arrived.elapsed());
+            let kind = self.job.route().kind.into();
+            self.shared.metrics.ended(kind, "caller_left", age);
             self.shared.journal.write(
                 LineKind::CallerLeft,
                 self.shared.now(),
@@ -559,8 +561,14 @@
         placed,
     };
     Ok(match path {
-        EnginePath::Direct(placed) => Planned::Run(in_flight(placed)),
-        EnginePath::Split(placed) => Planned::Compute(in_flight(placed)),
+        EnginePath::Direct(placed) => {
+            shared.metrics.placed("direct");
+            Planned::Run(in_flight(placed))
+        }
+        EnginePath::Split(placed) => {
+            shared.metrics.placed("split");
+            Planned::Compute(in_flight(placed))
+        }
     })
 }
 
@@ -810,6 +818,13 @@
 }
 
 pub(crate) fn tell_answer(shared: &Shared, job: &Job, status: u16) {
+    let kind = job.route().kind.into();
+    let class = if status < 500 {
+        "answered"
+    } else {
+        "server_error"
+    };
+    shared.metrics.ended(kind, class, job.arrived.elapsed());
     shared.journal.write(
         LineKind::Answered,
         shared.now(),
@@ -824,6 +839,7 @@
 }
 
 pub(crate) fn tell_end(shared: &Shared, id: &str, route: &str, refusal: &Refusal, age: Duration) {
+    shared.metrics.ended("any", refusal.reason.into(), age);
     shared.journal.write(
         LineKind::Ended,
         shared.now(),
@@ -844,6 +860,7 @@
     end: AttemptEnd,
     reason: &str,
 ) {
+    shared.metrics.attempt_failed(end.into());
     let target = shared.fleet().catalog.get(key).map(|t| t.id.clone());
     shared.journal.write(
         LineKind::Attempt,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod journal;
 mod message;
+mod metrics;
 mod peers;
 mod prompt;
 mod server;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,146 @@
+//! Counters and latency histograms, served as text. Their labels are bounded sets of words; routes,
+//! tenants and requests are found in the log.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::web::HttpResponse;
+use ntex::web::types::State;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::state::Shared;
+
+/// Bounds of the latency histogram in seconds, around the aims of 100 to 200 ms and the deadlines
+/// of 1.5 to 15 s.
+const LATENCY_BOUNDS_S: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0];
+
+/// Counters of the process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    ended: IntCounterVec,
+    latency: HistogramVec,
+    attempts_failed: IntCounterVec,
+    placed: IntCounterVec,
+    duties: IntCounterVec,
+    /// Failed calls of the copies' lists and watches.
+    pub(crate) store_failures: IntCounter,
+    /// Version of the settings in force.
+    pub(crate) settings_version: IntGauge,
+    /// Known targets.
+    pub(crate) targets: IntGauge,
+}
+
+impl Metrics {
+    /// Creates counters at zero.
+    ///
+    /// # Panics
+    ///
+    /// Never: names and labels are constants that a test registers.
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels);
+            let counter = counter.expect("the name is a constant");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("the name is unique");
+            counter
+        };
+        let ended = counter(
+            "jujubebeam_requests_ended_total",
+            "Requests by kind and how they ended",
+            &["kind", "outcome"],
+        );
+        let attempts_failed = counter(
+            "jujubebeam_attempts_failed_total",
+            "Attempts at targets that gave no answer, by how they ended",
+            &["end"],
+        );
+        let placed = counter(
+            "jujubebeam_engine_requests_placed_total",
+            "Requests to engines by path",
+            &["path"],
+        );
+        let duties = counter(
+            "jujubebeam_duties_total",
+            "Calls and orders that one vm at a time gives",
+            &["duty", "accepted"],
+        );
+        let latency = HistogramOpts::new(
+            "jujubebeam_request_seconds",
+            "Time from arrival to the end of the answer",
+        );
+        let latency = HistogramVec::new(latency.buckets(LATENCY_BOUNDS_S.to_vec()), &["outcome"])
+            .expect("the name is a constant");
+        let store_failures =
+            IntCounter::new("jujubebeam_store_failures_total", "Failed store calls")
+                .expect("the name is a constant");
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("the name is a constant");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("the name is unique");
+            gauge
+        };
+        let settings_version = gauge("jujubebeam_settings_version", "Settings in force");
+        let targets = gauge("jujubebeam_targets", "Targets that are known");
+        for collector in [
+            Box::new(latency.clone()) as Box<dyn prometheus::core::Collector>,
+            Box::new(store_failures.clone()),
+        ] {
+            registry.register(collector).expect("the name is unique");
+        }
+        Self {
+            registry,
+            ended,
+            latency,
+            attempts_failed,
+            placed,
+            duties,
+            store_failures,
+            settings_version,
+            targets,
+        }
+    }
+
+    /// A request ended.
+    pub(crate) fn ended(&self, kind: &'static str, outcome: &'static str, after: Duration) {
+        self.ended.with_label_values(&[kind, outcome]).inc();
+        self.latency
+            .with_label_values(&[outcome])
+            .observe(after.as_secs_f64());
+    }
+
+    /// An attempt gave no answer.
+    pub(crate) fn attempt_failed(&self, end: &'static str) {
+        self.attempts_failed.with_label_values(&[end]).inc();
+    }
+
+    /// A request to an engine was placed.
+    pub(crate) fn placed(&self, path: &'static str) {
+        self.placed.with_label_values(&[path]).inc();
+    }
+
+    /// A duty was performed or refused.
+    pub(crate) fn duty(&self, duty: &'static str, is_accepted: bool) {
+        let accepted = if is_accepted { "yes" } else { "no" };
+        self.duties.with_label_values(&[duty, accepted]).inc();
+    }
+}
+
+/// Answers a question for the metrics.
+pub(crate) async fn text(shared: State<Arc<Shared>>) -> HttpResponse {
+    let mut body = Vec::new();
+    let families = shared.metrics.registry.gather();
+    if let Err(error) = TextEncoder::new().encode(&families, &mut body) {
+        log::error!("metrics: not encoded: {error}");
+        return HttpResponse::InternalServerError().finish();
+    }
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(body)
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -14,7 +14,7 @@
 use ntex::http::{HttpServiceConfig, KeepAlive};
 use ntex::time::{Millis, Seconds, sleep, timeout};
 use ntex::web::types::PayloadConfig;
-use ntex::web::{self, App};
+use ntex::web::{self, App, HttpServer};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::config::GatewayConfig;
@@ -23,7 +23,7 @@
 use crate::edges::{Edges, StoreApi, Wire};
 use crate::peers;
 use crate::state::Shared;
-use crate::{addresses, forward};
+use crate::{addresses, forward, metrics};
 
 /// Time after which an idle connection of a caller is closed. It exceeds the longest time for which
 /// callers are told that they may idle (15 s), so a request does not meet a closing connection.
@@ -38,6 +38,9 @@
 /// Largest body of messages between vms.
 const ENVELOPE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Time between two clean-ups of idle connections.
 const CLEAN_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -143,6 +146,20 @@
     .bind(listen.addresses)?
     .run();
 
+    let metrics_server = listen
+        .metrics
+        .map(|address| {
+            let state = shared.clone();
+            let server = web::server(async move || {
+                App::new()
+                    .state(state.clone())
+                    .route(METRICS_PATH, web::get().to(metrics::text))
+            });
+            server.workers(1).disable_signals().bind(address)
+        })
+        .transpose()?
+        .map(HttpServer::run);
+
     let state = shared.clone();
     let http = HttpServiceConfig::new()
         .set_keepalive(KeepAlive::Timeout(CALLER_IDLE))
@@ -163,10 +180,16 @@
 
     drain_on_signal(&context).await?;
     // Idle connections of callers would hold the process until it is killed.
-    if timeout(CLOSING_LIMIT, caller_server.stop(true)).await.is_err() {
-        log::info!("event=closing vm={} outcome=callers_still_connected", shared.vm);
+    if timeout(CLOSING_LIMIT, caller_server.stop(true))
+        .await
+        .is_err()
+    {
+        log::info!(
+            "event=closing vm={} outcome=callers_still_connected",
+            shared.vm
+        );
     }
-    drop(control_server);
+    drop((control_server, metrics_server));
     log::info!("event=stop vm={}", shared.vm);
     Ok(())
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use crate::config::GatewayConfig;
 use crate::duties::Order;
 use crate::journal::Journal;
+use crate::metrics::Metrics;
 
 /// Targets and what is known of their load.
 #[derive(Debug)]
@@ -56,6 +57,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: SystemClock,
     pub(crate) journal: Journal,
+    pub(crate) metrics: Metrics,
     settings: RwLock<Option<Arc<GatewaySettings>>>,
     fleet: Mutex<Fleet>,
     mirrors: Mutex<Mirrors>,
@@ -126,6 +128,7 @@
             incarnation,
             clock: SystemClock::new(),
             journal: Journal::default(),
+            metrics: Metrics::new(),
             settings: RwLock::new(None),
             fleet: Mutex::new(Fleet {
                 catalog: Catalog::default(),
@@ -178,6 +181,7 @@
         {
             return false;
         }
+        self.metrics.settings_version.set(settings.version as i64);
         *present = Some(Arc::new(settings));
         true
     }
--- a/crates/jujubebeam/src/cli/gateway.rs
+++ b/crates/jujubebeam/src/cli/gateway.rs
@@ -35,7 +35,7 @@
         println!("{path}: no faults");
         return Ok(());
     }
-    start_log(&config.log_level)?;
+    let _log = start_log(&config.log_level)?;
     jujubebeam_gateway::run::<Platform>(config)
         .map_err(|e| Report::new(Failure::Failed).attach(e.to_string()))
 }
--- a/crates/jujubebeam/src/cli/run.rs
+++ b/crates/jujubebeam/src/cli/run.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use error_stack::Report;
-use flexi_logger::DeferredNow;
+use flexi_logger::{DeferredNow, LoggerHandle, WriteMode};
 use jujubebeam_core::invariant;
 use pico_args::Arguments;
 
@@ -33,18 +33,22 @@
         println!("{path}: no faults");
         return Ok(());
     }
-    start_log(&config.log.level)?;
+    let _log = start_log(&config.log.level)?;
     invariant::set_reporter(|name, detail| log::error!("invariant: {name}: {detail}"));
     let _guard = trace::start(&config.trace).map_err(bad_input)?;
     server::run(config).map_err(|e| Report::new(Failure::Failed).attach(e.to_string()))
 }
 
-pub(crate) fn start_log(level: &str) -> CliResult {
+/// Starts the log. A thread of its own writes it, so that a reader of the standard output that stalls
+/// never blocks a request. The handle flushes when it is dropped.
+pub(crate) fn start_log(level: &str) -> CliResult<LoggerHandle> {
     // Libraries log their own start-up at `info`, which would bury the daemon's lines.
     let filter = format!("warn,jujubebeam={level},jujubebeam_gateway={level}");
     flexi_logger::Logger::try_with_str(&filter)
-        .and_then(|logger| logger.log_to_stdout().format(format_line).start())
-        .map(|_| ())
+        .and_then(|logger| {
+            let logger = logger.log_to_stdout().write_mode(WriteMode::Async);
+            logger.format(format_line).start()
+        })
         .map_err(|e| bad_input(format!("log.level {level:?}: {e}")))
 }
 
