--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -19,6 +19,9 @@
 /// Recently placed prompt parts that are remembered.
 const REMEMBERED_PARTS: usize = 8192;
 
+/// Longest wait that is told, in milliseconds; no caller waits for longer.
+const MAX_WAIT_MS: f64 = 600_000.0;
+
 /// Age at which a load report no longer says anything. Queues of some milliseconds have turned over
 /// many times by then.
 const REPORT_LIFETIME: Duration = Duration::from_millis(400);
@@ -174,6 +177,8 @@
     Overloaded {
         /// When a target is expected to have room.
         retry_after: Duration,
+        /// Predicted wait at the best target.
+        wait: Duration,
     },
 }
 
@@ -380,9 +385,11 @@
         if wait_ms <= longest_ms {
             return Ok(());
         }
-        let excess = Duration::from_secs_f64((wait_ms - longest_ms) / 1000.0);
+        let excess_ms = (wait_ms - longest_ms).clamp(0.0, MAX_WAIT_MS);
+        let excess = Duration::from_secs_f64(excess_ms / 1000.0);
         let retry_after = excess.clamp(self.config.retry_shortest, self.config.retry_longest);
-        Err(RefusedPlace::Overloaded { retry_after })
+        let wait = Duration::from_secs_f64(wait_ms.min(MAX_WAIT_MS) / 1000.0);
+        Err(RefusedPlace::Overloaded { retry_after, wait })
     }
 
     fn started(&mut self, placed: &Placed, parts: &[PromptPart], now: Duration) {
--- a/crates/core/tests/gateway_decisions.rs
+++ b/crates/core/tests/gateway_decisions.rs
@@ -253,7 +253,7 @@
         ];
         match placer.place_engine(&catalog, &request(&parts, 80), SECOND) {
             Ok(_) => sent += 1,
-            Err(RefusedPlace::Overloaded { retry_after }) => {
+            Err(RefusedPlace::Overloaded { retry_after, .. }) => {
                 assert!(retry_after >= ms(400));
                 refused += 1;
             }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -52,6 +52,8 @@
     pub(crate) reason: Reason,
     pub(crate) status: StatusCode,
     pub(crate) retry_after: Option<Duration>,
+    /// Predicted wait that was too long.
+    pub(crate) wait: Option<Duration>,
 }
 
 impl Refusal {
@@ -61,6 +63,7 @@
             reason,
             status: StatusCode::SERVICE_UNAVAILABLE,
             retry_after: Some(retry_after),
+            wait: None,
         }
     }
 
@@ -77,6 +80,7 @@
             reason,
             status,
             retry_after: None,
+            wait: None,
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,6 +1,6 @@
 //! The path of a request: check, place, send, and pass the answer on.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -87,6 +87,8 @@
     /// When the request's time is over.
     pub(crate) limit: Instant,
     counted: Cell<bool>,
+    /// Id of the target that has the request, for the log.
+    at_target: RefCell<String>,
 }
 
 /// An attempt that is counted at its target until it is dropped.
@@ -230,6 +232,7 @@
         arrived,
         limit,
         counted: Cell::new(false),
+        at_target: RefCell::default(),
     })
 }
 
@@ -393,6 +396,14 @@
         Ok(response) => response,
         Err(_) => {
             // An attempt may be at a target, so nothing can be promised.
+            let target = job.at_target.take();
+            tell_attempt(
+                shared,
+                &job,
+                &target,
+                AttemptEnd::Broken,
+                "no answer in time",
+            );
             let refusal = Refusal::from_final(FinalAnswer::TimedOut);
             tell_end(
                 shared,
@@ -479,6 +490,7 @@
             Planned::Run(in_flight) => (in_flight, prompt.work()),
         };
         let key = in_flight.placed.key;
+        let target = in_flight.placed.target.id.clone();
         let ended = attempt(context, job, in_flight, work).await;
         prompt.used();
         let (end, reason) = match ended {
@@ -492,7 +504,7 @@
             Attempted::Events(events) => return stream::respond(context, job.clone(), *events),
             Attempted::Ended(end, reason) => (end, reason),
         };
-        tell_attempt(shared, job, key, end, &reason);
+        tell_attempt(shared, job, &target, end, &reason);
         excluded.push(key);
         let step = progress.ended(end);
         if may_try_again(shared, job, step) {
@@ -596,9 +608,10 @@
 fn refused_place(refused: RefusedPlace) -> Refusal {
     match refused {
         RefusedPlace::NoTarget => Refusal::not_run(Reason::NoTarget, NO_TARGET_RETRY),
-        RefusedPlace::Overloaded { retry_after } => {
-            Refusal::not_run(Reason::Overloaded, retry_after)
-        }
+        RefusedPlace::Overloaded { retry_after, wait } => Refusal {
+            wait: Some(wait),
+            ..Refusal::not_run(Reason::Overloaded, retry_after)
+        },
     }
 }
 
@@ -630,6 +643,7 @@
 ) -> Result<(Response<hyper::body::Incoming>, TargetConnection), (AttemptEnd, String)> {
     let shared = &context.shared;
     let placed = &in_flight.placed;
+    job.at_target.replace(placed.target.id.clone());
     // A prompt may be computed again.
     let runs_once = job.repeatability() != Repeatability::Idempotent && work != Work::Prompt;
     let limit = connection_limit(shared, job);
@@ -844,10 +858,11 @@
         LineKind::Ended,
         shared.now(),
         format_args!(
-            "request={id} route={route} reason={} status={} retry_after_ms={} after_ms={}",
+            "request={id} route={route} reason={} status={} retry_after_ms={} wait_ms={} after_ms={}",
             refusal.reason,
             refusal.status.as_u16(),
             refusal.retry_after.map_or(0, |t| t.as_millis()),
+            refusal.wait.map_or(0, |t| t.as_millis()),
             age.as_millis()
         ),
     );
@@ -856,19 +871,17 @@
 pub(crate) fn tell_attempt(
     shared: &Shared,
     job: &Job,
-    key: TargetKey,
+    target: &str,
     end: AttemptEnd,
     reason: &str,
 ) {
     shared.metrics.attempt_failed(end.into());
-    let target = shared.fleet().catalog.get(key).map(|t| t.id.clone());
     shared.journal.write(
         LineKind::Attempt,
         shared.now(),
         format_args!(
-            "request={} target={} end={end:?} cause={reason:?} after_ms={}",
+            "request={} target={target} end={end:?} cause={reason:?} after_ms={}",
             job.incoming.attempt_id,
-            target.as_deref().unwrap_or("gone"),
             job.arrived.elapsed().as_millis()
         ),
     );
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -65,8 +65,9 @@
     in_flight: InFlight,
 ) -> Result<Prompt, AttemptEnd> {
     let key = in_flight.placed.key;
+    let target = in_flight.placed.target.id.clone();
     let failed = |end, reason: &str| {
-        forward::tell_attempt(&context.shared, job, key, end, reason);
+        forward::tell_attempt(&context.shared, job, &target, end, reason);
         Err(end)
     };
     let sent = forward::send(context, job, &in_flight, Work::Prompt).await;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -218,9 +218,10 @@
         };
         let shared = self.context.shared.clone();
         let key = source.in_flight.placed.key;
+        let target = source.in_flight.placed.target.id.clone();
         source.failed(&self.context, &self.job);
         let end = AttemptEnd::BrokenMidway;
-        forward::tell_attempt(&shared, &self.job, key, end, reason);
+        forward::tell_attempt(&shared, &self.job, &target, end, reason);
         // What came of an event that is not whole was not passed on.
         source.splitter.take_rest();
         drop(source);
@@ -242,6 +243,7 @@
             )
             .map_err(|refusal| refusal.reason.to_string())?;
             let key = in_flight.placed.key;
+            let target = in_flight.placed.target.id.clone();
             let sent = timeout_at(
                 self.job.limit,
                 forward::send(&self.context, &self.job, &in_flight, Work::Resume(last_id)),
@@ -261,7 +263,7 @@
                     return Err(format!("resumed with status {}", response.status()));
                 }
                 Ok(Err((attempt_end, reason))) => {
-                    forward::tell_attempt(&shared, &self.job, key, attempt_end, &reason);
+                    forward::tell_attempt(&shared, &self.job, &target, attempt_end, &reason);
                     self.excluded.push(key);
                     end = attempt_end;
                 }
