--- a/crates/core/src/gateway/outcome.rs
+++ b/crates/core/src/gateway/outcome.rs
@@ -108,11 +108,10 @@
                 self.may_have_run = true;
             }
         }
-        let may_repeat = match (end, self.repeatability) {
-            (AttemptEnd::NotRun, _) => true,
-            (AttemptEnd::Broken, Repeatability::Idempotent | Repeatability::Resumable) => true,
-            (AttemptEnd::BrokenMidway, Repeatability::Resumable) => true,
-            _ => false,
+        let may_repeat = match end {
+            AttemptEnd::NotSent | AttemptEnd::NotRun => true,
+            AttemptEnd::Broken => self.repeatability != Repeatability::Once,
+            AttemptEnd::BrokenMidway => self.repeatability == Repeatability::Resumable,
         };
         if may_repeat && self.arrivals < self.max_attempts {
             return NextStep::TryAgain { spends: true };
--- /dev/null
+++ b/crates/core/src/gateway/placement/load.rs
@@ -0,0 +1,106 @@
+//! What a vm knows of the load of one target: its own requests, the target's reports and the time of
+//! its answers.
+
+use std::time::Duration;
+
+use crate::gateway::catalog::Stage;
+
+/// Age at which a load report no longer says anything. Queues of some milliseconds have turned over
+/// many times by then.
+const REPORT_LIFETIME: Duration = Duration::from_millis(400);
+
+/// What a target said of its load with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// What a vm knows of the load of one target.
+#[derive(Debug, Default)]
+pub(super) struct TargetState {
+    /// Requests of this vm at the target.
+    pub(super) in_flight: u32,
+    /// Prompt tokens of those whose first token has not arrived.
+    pub(super) pending_tokens: u64,
+    /// Averages of both over the last moments. Other vms get similar requests, so they probably
+    /// have as many there.
+    average: Average,
+    pub(super) report: Option<(LoadReport, Duration)>,
+    /// Time that the last answer took beyond its own work, in milliseconds, and when it came.
+    pub(super) delay: Option<(f64, Duration)>,
+    /// When the oldest request was sent since the target last answered anything.
+    pub(super) unanswered_since: Option<Duration>,
+    /// Weighted part of recent attempts that failed.
+    pub(super) failing: f64,
+    pub(super) ejections: u32,
+    pub(super) avoided_until: Duration,
+    /// Refusals since the last answer.
+    pub(super) refusals: u32,
+    /// Stage that the engine was ordered to take, and until when that is believed.
+    pub(super) changing: Option<(Stage, Duration)>,
+}
+
+/// Exponentially weighted averages over time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Average {
+    in_flight: f64,
+    pending_tokens: f64,
+    at: Duration,
+}
+
+/// Time over which the load of other vms is averaged. It spans several requests of one vm at one
+/// target and is short against a burst.
+const AVERAGE_TIME: Duration = Duration::from_millis(150);
+
+impl Average {
+    fn advance(&mut self, in_flight: u32, pending_tokens: u64, now: Duration) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        let part = 1.0 - (-passed / AVERAGE_TIME.as_secs_f64()).exp();
+        self.in_flight += (f64::from(in_flight) - self.in_flight) * part;
+        self.pending_tokens += (pending_tokens as f64 - self.pending_tokens) * part;
+        self.at = now;
+    }
+}
+
+impl TargetState {
+    /// Accounts for the time up to `now`; called before the counts change.
+    pub(super) fn advance(&mut self, now: Duration) {
+        self.average
+            .advance(self.in_flight, self.pending_tokens, now);
+    }
+
+    /// Expected requests and prompt tokens of all vms at the target.
+    pub(super) fn expected(&self, vms: usize, now: Duration) -> (f64, f64) {
+        let mut average = self.average;
+        average.advance(self.in_flight, self.pending_tokens, now);
+        let others = vms.saturating_sub(1) as f64;
+        (
+            f64::from(self.in_flight) + others * average.in_flight,
+            self.pending_tokens as f64 + others * average.pending_tokens,
+        )
+    }
+
+    pub(super) fn report(&self, now: Duration) -> Option<LoadReport> {
+        let (report, at) = self.report?;
+        (now < at + REPORT_LIFETIME).then_some(report)
+    }
+
+    /// Wait that the last answers met. It fades, because a refusal of all requests would otherwise
+    /// never learn that the queue has emptied.
+    pub(super) fn delay_ms(&self, now: Duration) -> f64 {
+        let Some((delay_ms, at)) = self.delay else {
+            return 0.0;
+        };
+        let age = now.saturating_sub(at).as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
+        delay_ms * (1.0 - age).max(0.0)
+    }
+
+    pub(super) fn is_silent(&self, after: Duration, now: Duration) -> bool {
+        self.unanswered_since.is_some_and(|at| now > at + after)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,282 @@
+//! One attempt at a target: the exchange, the checks of its answer, and what is learned from it.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Response, header};
+use http_body_util::BodyExt;
+use jujubebeam_core::gateway::{AttemptEnd, Placed, Repeatability};
+use jujubebeam_core::quarantine::{QuarantineCommand, QuarantineEvent, Verdict};
+use jujubebeam_core::{Machine, TargetId};
+use ntex::http::StatusCode;
+use ntex::util::Bytes as NtexBytes;
+use ntex::web::HttpResponse;
+
+use crate::answer::TargetHeaders;
+use crate::connection::{SendError, TargetConnection};
+use crate::edges::{AnswerHead, Edges, Wire, Work};
+use crate::job::{HOP_HEADERS, Job};
+use crate::message::Message;
+use crate::peers;
+use crate::server::Context;
+use crate::state::Shared;
+use crate::stream::{self, EventStream};
+use crate::tell::tell_answer;
+
+/// Longest answer of a plain service that is read as a whole before it is passed on.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Connections to a target that are left to callers outside the system and to restarts of vms.
+const CONNECTION_SHARE: f64 = 0.8;
+
+/// An attempt that is counted at its target until it is dropped.
+pub(crate) struct InFlight {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) placed: Placed,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        self.shared.fleet().placer.finished(&self.placed, now);
+    }
+}
+
+/// What came of an attempt.
+pub(crate) enum Attempted {
+    /// A whole answer.
+    Whole(WholeAnswer),
+    /// A stream with its first events.
+    Events(Box<EventStream>),
+    /// No answer.
+    Ended(AttemptEnd, String),
+}
+
+/// A whole answer of a target.
+pub(crate) struct WholeAnswer {
+    pub(crate) parts: http::response::Parts,
+    body: Bytes,
+}
+
+pub(crate) async fn attempt<E: Edges>(
+    context: &Context<E>,
+    job: &Rc<Job>,
+    in_flight: InFlight,
+    work: Work<'_>,
+) -> Attempted {
+    let (response, connection) = match send(context, job, &in_flight, work).await {
+        Ok(sent) => sent,
+        Err((end, reason)) => return Attempted::Ended(end, reason),
+    };
+    if stream::is_events(&response) {
+        return match stream::open(context, job, in_flight, response, connection).await {
+            Ok(events) => Attempted::Events(Box::new(events)),
+            Err(reason) => Attempted::Ended(AttemptEnd::Broken, reason),
+        };
+    }
+    whole(context, job, &in_flight, response, connection).await
+}
+
+/// Sends a request and checks the head of the answer.
+pub(crate) async fn send<E: Edges>(
+    context: &Context<E>,
+    job: &Job,
+    in_flight: &InFlight,
+    work: Work<'_>,
+) -> Result<(Response<hyper::body::Incoming>, TargetConnection), (AttemptEnd, String)> {
+    let shared = &context.shared;
+    let placed = &in_flight.placed;
+    job.at_target.replace(placed.target.id.clone());
+    // A prompt may be computed again.
+    let runs_once = job.repeatability() != Repeatability::Idempotent && work != Work::Prompt;
+    let limit = connection_limit(shared, job);
+    let target = &placed.target;
+    let connected = context
+        .pool
+        .connect(placed.key, &target.address, runs_once, limit)
+        .await;
+    let mut connection = match connected {
+        Ok(connection) => connection,
+        Err(error) => return Err(send_failed(context, placed, error)),
+    };
+    let response = match connection.send(job.request::<E>(placed, work)).await {
+        Ok(response) => response,
+        Err(error) => {
+            let (end, reason) = send_failed(context, placed, error);
+            if end == AttemptEnd::Broken {
+                crashed(context, job, placed);
+            }
+            return Err((end, reason));
+        }
+    };
+    let head = E::Wire::answer(
+        response.status().as_u16(),
+        &TargetHeaders(response.headers()),
+    );
+    check_head(context, job, placed, work, &head, response, connection).await
+}
+
+async fn check_head<E: Edges>(
+    context: &Context<E>,
+    job: &Job,
+    placed: &Placed,
+    work: Work<'_>,
+    head: &AnswerHead,
+    response: Response<hyper::body::Incoming>,
+    connection: TargetConnection,
+) -> Result<(Response<hyper::body::Incoming>, TargetConnection), (AttemptEnd, String)> {
+    let shared = &context.shared;
+    let now = shared.now();
+    let echoed = head.attempt_id.as_deref();
+    if head.not_run && echoed.is_none_or(|id| id == job.incoming.attempt_id) {
+        shared.fleet().placer.refused(placed, head.load, now);
+        let status = response.status();
+        if response.into_body().collect().await.is_ok() {
+            context.pool.release(placed.key, connection);
+        }
+        return Err((AttemptEnd::NotRun, format!("refused with {status}")));
+    }
+    // The answer to a computed prompt is not meant for the caller and may bear no id or signature.
+    let is_prompt = work == Work::Prompt;
+    let is_mine = echoed == Some(job.incoming.attempt_id.as_str());
+    let is_unnamed_prompt = is_prompt && echoed.is_none();
+    if !is_mine && !is_unnamed_prompt {
+        // The answer belongs to another request; its connection cannot be trusted any more.
+        shared.fleet().placer.failed(placed, now);
+        return Err((AttemptEnd::Broken, "answer of another request".into()));
+    }
+    let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
+    let unsigned_success = response.status().is_success() && !head.is_signed && !is_prompt;
+    if encoded || unsigned_success {
+        shared.fleet().placer.failed(placed, now);
+        return Err((AttemptEnd::Broken, "answer is not the target's own".into()));
+    }
+    shared.fleet().placer.first_byte(placed, head.load, now);
+    Ok((response, connection))
+}
+
+fn send_failed<E: Edges>(
+    context: &Context<E>,
+    placed: &Placed,
+    error: SendError,
+) -> (AttemptEnd, String) {
+    let shared = &context.shared;
+    let now = shared.now();
+    match error {
+        SendError::NotSent(reason) => {
+            shared.fleet().placer.unreachable(placed, now);
+            (AttemptEnd::NotSent, reason)
+        }
+        SendError::NoAnswer(reason) => {
+            context.pool.close_idle(placed.key);
+            shared.fleet().placer.failed(placed, now);
+            (AttemptEnd::Broken, reason)
+        }
+    }
+}
+
+/// Share of this vm in the connections that a target accepts.
+fn connection_limit(shared: &Shared, job: &Job) -> usize {
+    let service = job.settings.services.get(&job.service);
+    let all = service.map_or(0, |s| s.max_connections);
+    if all == 0 {
+        return usize::MAX;
+    }
+    let vms = shared.vms() * shared.config.workers;
+    let share = f64::from(all) * CONNECTION_SHARE / vms.max(1) as f64;
+    (share as usize).max(2)
+}
+
+/// A connection broke under the request; if the target crashed, the request may be the cause.
+pub(crate) fn crashed<E: Edges>(context: &Context<E>, job: &Job, placed: &Placed) {
+    let mut hasher = DefaultHasher::new();
+    (&placed.target.id, placed.target.born_ms).hash(&mut hasher);
+    let event = QuarantineEvent::Crashed {
+        fingerprint: job.fingerprint,
+        target: TargetId(hasher.finish()),
+    };
+    feed_quarantine(context, event);
+}
+
+/// The request gave a whole answer.
+pub(crate) fn is_sound<E: Edges>(context: &Context<E>, job: &Job) {
+    let fingerprint = job.fingerprint;
+    let known = {
+        let quarantine = context.shared.quarantine();
+        quarantine.verdict(fingerprint, context.shared.now()) != Verdict::Clear
+    };
+    if known {
+        feed_quarantine(context, QuarantineEvent::Whole { fingerprint });
+    }
+}
+
+fn feed_quarantine<E: Edges>(context: &Context<E>, event: QuarantineEvent) {
+    let mut commands = Vec::new();
+    let now = context.shared.now();
+    context.shared.quarantine().step(event, now, &mut commands);
+    for QuarantineCommand::Tell(message) in commands {
+        peers::tell_all(context, &Message::Quarantine(message));
+    }
+}
+
+async fn whole<E: Edges>(
+    context: &Context<E>,
+    job: &Rc<Job>,
+    in_flight: &InFlight,
+    response: Response<hyper::body::Incoming>,
+    connection: TargetConnection,
+) -> Attempted {
+    let shared = &context.shared;
+    job.began(shared);
+    let placed = &in_flight.placed;
+    let (parts, body) = response.into_parts();
+    let body = match http_body_util::Limited::new(body, MAX_ANSWER_BYTES)
+        .collect()
+        .await
+    {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            shared.fleet().placer.failed(placed, shared.now());
+            context.pool.close_idle(placed.key);
+            return Attempted::Ended(AttemptEnd::Broken, format!("answer broke off: {error}"));
+        }
+    };
+    context.pool.release(placed.key, connection);
+    // These statuses promise that the request has not run, which only the target's own statement
+    // can prove.
+    if matches!(parts.status.as_u16(), 408 | 421 | 429 | 503) {
+        let reason = format!("status {} without a statement", parts.status);
+        return Attempted::Ended(AttemptEnd::Broken, reason);
+    }
+    is_sound(context, job);
+    Attempted::Whole(WholeAnswer { parts, body })
+}
+
+pub(crate) fn pass_on<E: Edges>(
+    context: &Context<E>,
+    job: &Job,
+    answer: WholeAnswer,
+) -> HttpResponse {
+    tell_answer(&context.shared, job, answer.parts.status.as_u16());
+    let mut builder = head(&answer.parts);
+    builder.body(NtexBytes::copy_from_slice(&answer.body))
+}
+
+/// Head of an answer with the target's status and headers.
+pub(crate) fn head(parts: &http::response::Parts) -> ntex::web::HttpResponseBuilder {
+    let status = StatusCode::from_u16(parts.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    for (name, value) in &parts.headers {
+        if HOP_HEADERS.contains(&name.as_str()) {
+            continue;
+        }
+        let name = ntex::http::header::HeaderName::from_bytes(name.as_str().as_bytes());
+        let value = ntex::http::header::HeaderValue::from_bytes(value.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            builder.header(name, value);
+        }
+    }
+    builder
+}
--- /dev/null
+++ b/crates/gateway/src/job.rs
@@ -0,0 +1,320 @@
+//! A request that was accepted: its route, its tenant, and what is sent to a target.
+
+use std::cell::{Cell, RefCell};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{Request, header};
+use http_body_util::Full;
+use jujubebeam_core::RouteId;
+use jujubebeam_core::gateway::{
+    GatewaySettings, HostRoute, PlaceRequest, Placed, PromptPart, Repeatability, RequestKind,
+    Stage, TargetKey,
+};
+use jujubebeam_core::quarantine::Fingerprint;
+use ntex::http::StatusCode;
+use ntex::io::IoRef;
+use ntex::web::HttpRequest;
+use ntex::web::types::Payload;
+use smallvec::SmallVec;
+use tokio::time::{Instant, timeout_at};
+
+use crate::answer::{CallerHeaders, Reason, Refusal};
+use crate::edges::{Edges, Incoming, Outgoing, Wire, Work};
+use crate::server::Context;
+use crate::state::Shared;
+
+/// Time for a request whose caller and route name none.
+const DEFAULT_TIME: Duration = Duration::from_secs(30);
+
+/// Time after a shutdown signal during which requests are still taken. Callers that kept the
+/// address beyond its lifetime are told to go elsewhere, while what was taken is finished.
+const TAKE_WHILE_LEAVING: Duration = Duration::from_millis(2500);
+
+/// Headers that concern one connection only, or that are set anew.
+pub(crate) const HOP_HEADERS: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "host",
+];
+
+/// A request that was accepted.
+pub(crate) struct Job {
+    pub(crate) settings: Arc<GatewaySettings>,
+    route: usize,
+    pub(crate) incoming: Incoming,
+    tenant: Option<String>,
+    pub(crate) service: String,
+    method: http::Method,
+    uri: http::Uri,
+    host: String,
+    headers: http::HeaderMap,
+    body: Bytes,
+    pub(crate) fingerprint: Fingerprint,
+    /// The caller's connection.
+    io: Option<IoRef>,
+    pub(crate) arrived: Instant,
+    /// Longest predicted wait at a target with which the request is sent.
+    longest_wait: Duration,
+    /// When the request's time is over.
+    pub(crate) limit: Instant,
+    counted: Cell<bool>,
+    /// Id of the target that has the request, for the log.
+    pub(crate) at_target: RefCell<String>,
+}
+
+pub(crate) type Denied = (String, Refusal);
+
+pub(crate) async fn accept<E: Edges>(
+    context: &Context<E>,
+    request: &HttpRequest,
+    payload: Payload,
+) -> Result<Job, Denied> {
+    let arrived = Instant::now();
+    let shared = &context.shared;
+    let incoming = E::Wire::incoming(&CallerHeaders(request.headers()));
+    let denied = |refusal| (incoming.attempt_id.clone(), refusal);
+    let Some(settings) = shared.settings().filter(|_| shared.knows_targets()) else {
+        return Err(denied(Refusal::starting()));
+    };
+    if shared
+        .leaving_for()
+        .is_some_and(|time| time > TAKE_WHILE_LEAVING)
+    {
+        return Err(denied(Refusal::leaving()));
+    }
+    let host = request.headers().get("host").and_then(|h| h.to_str().ok());
+    let host = host.unwrap_or_default().to_owned();
+    let Some(route) = settings.route(&host, request.uri().path()) else {
+        let refusal = Refusal::status(Reason::UnknownRoute, StatusCode::NOT_FOUND);
+        return Err(denied(refusal));
+    };
+    let tenant = match tenant(&settings, route, incoming.key.as_deref()) {
+        Ok(tenant) => tenant,
+        Err(refusal) => return Err(denied(refusal)),
+    };
+    let time = incoming.deadline.unwrap_or(DEFAULT_TIME);
+    let time = match route.timeout {
+        Duration::ZERO => time,
+        timeout => time.min(timeout),
+    };
+    let limit = arrived + time;
+    let body = match timeout_at(limit, read_body(payload, settings.max_body_bytes)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(refusal)) => return Err(denied(refusal)),
+        Err(_) => {
+            let refusal = Refusal::status(Reason::SlowBody, StatusCode::REQUEST_TIMEOUT);
+            return Err(denied(refusal));
+        }
+    };
+    let mut hasher = DefaultHasher::new();
+    incoming.attempt_id.hash(&mut hasher);
+    let Some(service) = route.service_for(hasher.finish()) else {
+        let refusal = Refusal::not_run(Reason::NoTarget, Duration::from_secs(1));
+        return Err(denied(refusal));
+    };
+    let service = service.to_owned();
+    let longest_wait = shared.admission().longest_wait(
+        &route.name,
+        route.latency_aim,
+        incoming.deadline,
+        limit.saturating_duration_since(Instant::now()),
+    );
+    let route = settings
+        .routes
+        .iter()
+        .position(|r| std::ptr::eq(r, route))
+        .unwrap_or_default();
+    shared.budget().request(&service, shared.now());
+    let uri: http::Uri = request
+        .uri()
+        .path_and_query()
+        .and_then(|p| p.as_str().parse().ok())
+        .unwrap_or_default();
+    Ok(Job {
+        fingerprint: fingerprint(&uri, tenant.as_deref(), &body),
+        headers: forwarded_headers::<E>(request),
+        method: request
+            .method()
+            .as_str()
+            .parse()
+            .unwrap_or(http::Method::GET),
+        settings,
+        route,
+        incoming,
+        tenant,
+        service,
+        uri,
+        host,
+        body,
+        io: request.io().cloned(),
+        longest_wait,
+        arrived,
+        limit,
+        counted: Cell::new(false),
+        at_target: RefCell::default(),
+    })
+}
+
+fn tenant(
+    settings: &GatewaySettings,
+    route: &HostRoute,
+    key: Option<&str>,
+) -> Result<Option<String>, Refusal> {
+    if !settings.has_tenants() {
+        return Ok(None);
+    }
+    let tenant = key.and_then(|key| settings.tenant_of(key));
+    let name = tenant
+        .and_then(|index| settings.tenant(index))
+        .map(|tenant| tenant.name.clone());
+    if name.is_none() && !route.is_public {
+        return Err(Refusal::status(
+            Reason::UnknownKey,
+            StatusCode::UNAUTHORIZED,
+        ));
+    }
+    Ok(name)
+}
+
+async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, Refusal> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.recv().await {
+        let chunk =
+            chunk.map_err(|_| Refusal::status(Reason::SlowBody, StatusCode::BAD_REQUEST))?;
+        if body.len() + chunk.len() > limit {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(Refusal::status(Reason::BodyTooLarge, status));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn fingerprint(uri: &http::Uri, tenant: Option<&str>, body: &[u8]) -> Fingerprint {
+    let mut text = Vec::with_capacity(body.len() + 64);
+    text.extend_from_slice(uri.path().as_bytes());
+    text.push(0);
+    text.extend_from_slice(tenant.unwrap_or_default().as_bytes());
+    text.push(0);
+    text.extend_from_slice(body);
+    Fingerprint::new(RouteId(0), &text)
+}
+
+fn forwarded_headers<E: Edges>(request: &HttpRequest) -> http::HeaderMap {
+    let listed = request.headers().get("connection");
+    let listed = listed.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let listed: SmallVec<[String; 4]> = listed
+        .split(',')
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut headers = http::HeaderMap::with_capacity(16);
+    for (name, value) in request.headers().iter() {
+        let name = name.as_str();
+        if HOP_HEADERS.contains(&name)
+            || E::Wire::is_reserved(name)
+            || listed.iter().any(|l| l == name)
+        {
+            continue;
+        }
+        let name = http::HeaderName::from_bytes(name.as_bytes());
+        let value = http::HeaderValue::from_bytes(value.as_bytes());
+        // Both were parsed by the server, so neither fails.
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
+impl Job {
+    pub(crate) fn route(&self) -> &HostRoute {
+        &self.settings.routes[self.route]
+    }
+
+    pub(crate) fn repeatability(&self) -> Repeatability {
+        let route = self.route();
+        match route.kind {
+            RequestKind::Idempotent => Repeatability::Idempotent,
+            RequestKind::Stream if route.resumable => Repeatability::Resumable,
+            RequestKind::Stream | RequestKind::Once => Repeatability::Once,
+        }
+    }
+
+    pub(crate) fn place_request<'a>(
+        &'a self,
+        parts: &'a [PromptPart],
+        excluded: &'a [TargetKey],
+    ) -> PlaceRequest<'a> {
+        PlaceRequest {
+            service: &self.service,
+            stage: self.stage(),
+            parts,
+            excluded,
+            longest_wait: self.longest_wait,
+        }
+    }
+
+    pub(crate) fn stage(&self) -> Option<Stage> {
+        let service = self.settings.services.get(&self.service)?;
+        service.engine.map(|_| Stage::Decode)
+    }
+
+    pub(crate) fn request<E: Edges>(
+        &self,
+        placed: &Placed,
+        work: Work<'_>,
+    ) -> Request<Full<Bytes>> {
+        let outgoing = Outgoing {
+            time_left: self.limit.saturating_duration_since(Instant::now()),
+            target_id: &placed.target.id,
+            tenant: self.tenant.as_deref(),
+            priority: None,
+            work,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        headers.extend(self.headers.clone());
+        if let Ok(host) = http::HeaderValue::from_str(&self.host) {
+            headers.insert(header::HOST, host);
+        }
+        for (name, value) in E::Wire::outgoing(&outgoing) {
+            if let Ok(value) = http::HeaderValue::from_str(&value) {
+                headers.insert(http::HeaderName::from_static(name), value);
+            }
+        }
+        request
+    }
+
+    /// Closes the caller's connection, so that a stream that broke off does not look whole.
+    pub(crate) fn close_connection(&self) {
+        if let Some(io) = &self.io {
+            io.close();
+        }
+    }
+
+    /// Counts the request for usage, once.
+    pub(crate) fn began(&self, shared: &Shared) {
+        if self.counted.replace(true) {
+            return;
+        }
+        if let Some(tenant) = &self.tenant {
+            let now = shared.now();
+            let mut usage = shared.usage();
+            let true_time = usage.true_time.now(now);
+            usage.windows.count(tenant, true_time);
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod addresses;
 mod answer;
+mod attempt;
 mod config;
 mod connection;
 mod control;
@@ -12,6 +13,7 @@
 mod edges;
 mod events;
 mod forward;
+mod job;
 mod journal;
 mod message;
 mod metrics;
@@ -20,6 +22,7 @@
 mod server;
 mod state;
 mod stream;
+mod tell;
 
 pub use config::{GatewayConfig, GatewayDuty, ListenAddresses};
 pub use edges::{
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -3,9 +3,11 @@
 use http_body_util::{BodyExt, Limited};
 use jujubebeam_core::gateway::AttemptEnd;
 
+use crate::attempt::{self, InFlight};
 use crate::edges::{Edges, Wire, Work};
-use crate::forward::{self, InFlight, Job};
+use crate::job::Job;
 use crate::server::Context;
+use crate::tell::tell_attempt;
 
 /// Longest answer that names a computed prompt.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
@@ -67,10 +69,10 @@
     let key = in_flight.placed.key;
     let target = in_flight.placed.target.id.clone();
     let failed = |end, reason: &str| {
-        forward::tell_attempt(&context.shared, job, &target, end, reason);
+        tell_attempt(&context.shared, job, &target, end, reason);
         Err(end)
     };
-    let sent = forward::send(context, job, &in_flight, Work::Prompt).await;
+    let sent = attempt::send(context, job, &in_flight, Work::Prompt).await;
     let (response, connection) = match sent {
         Ok(sent) => sent,
         Err((end, reason)) => return failed(end, &reason),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,12 +14,15 @@
 use smallvec::SmallVec;
 use tokio::time::timeout_at;
 
+use crate::attempt::{self, InFlight};
 use crate::connection::TargetConnection;
 use crate::edges::{Edges, Work};
 use crate::events::EventSplitter;
-use crate::forward::{self, InFlight, Job};
+use crate::forward;
+use crate::job::Job;
 use crate::journal::LineKind;
 use crate::server::{Context, Running};
+use crate::tell::{tell_answer, tell_attempt};
 
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -107,7 +110,7 @@
         let shared = &context.shared;
         shared.fleet().placer.failed(placed, shared.now());
         context.pool.close_idle(placed.key);
-        forward::crashed(context, job, placed);
+        attempt::crashed(context, job, placed);
     }
 }
 
@@ -149,7 +152,7 @@
     job: Rc<Job>,
     events: EventStream,
 ) -> HttpResponse {
-    let mut builder = forward::head(&events.parts);
+    let mut builder = attempt::head(&events.parts);
     let route = job.route();
     let progress = RequestProgress::new(job.repeatability(), route.max_attempts);
     let pump = Pump {
@@ -207,8 +210,8 @@
             let key = source.in_flight.placed.key;
             self.context.pool.release(key, source.connection);
         }
-        forward::is_sound(&self.context, &self.job);
-        forward::tell_answer(&self.context.shared, &self.job, 200);
+        attempt::is_sound(&self.context, &self.job);
+        tell_answer(&self.context.shared, &self.job, 200);
     }
 
     /// Continues at another target after the last whole event.
@@ -221,7 +224,7 @@
         let target = source.in_flight.placed.target.id.clone();
         source.failed(&self.context, &self.job);
         let end = AttemptEnd::BrokenMidway;
-        forward::tell_attempt(&shared, &self.job, &target, end, reason);
+        tell_attempt(&shared, &self.job, &target, end, reason);
         // What came of an event that is not whole was not passed on.
         source.splitter.take_rest();
         drop(source);
@@ -246,7 +249,7 @@
             let target = in_flight.placed.target.id.clone();
             let sent = timeout_at(
                 self.job.limit,
-                forward::send(&self.context, &self.job, &in_flight, Work::Resume(last_id)),
+                attempt::send(&self.context, &self.job, &in_flight, Work::Resume(last_id)),
             );
             match sent.await {
                 Err(_) => return Err("the request's time is over".into()),
@@ -263,7 +266,7 @@
                     return Err(format!("resumed with status {}", response.status()));
                 }
                 Ok(Err((attempt_end, reason))) => {
-                    forward::tell_attempt(&shared, &self.job, &target, attempt_end, &reason);
+                    tell_attempt(&shared, &self.job, &target, attempt_end, &reason);
                     self.excluded.push(key);
                     end = attempt_end;
                 }
