--- /dev/null
+++ b/crates/jujubebeam/tests/gateway.rs
@@ -0,0 +1,100 @@
+//! The gateway as a process: settings check, start without a store, and shutdown.
+
+use std::net::TcpStream;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use jujubebeam_testport::reserve_address;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_jujubebeam");
+
+/// Time between SIGTERM and SIGKILL in these tests.
+const GRACE: Duration = Duration::from_millis(3000);
+
+struct Settings {
+    text: String,
+    callers: std::net::SocketAddr,
+}
+
+fn settings() -> Settings {
+    let callers = reserve_address();
+    let text = format!(
+        "vm_name: vm-1\nzone: a\nlisten:\n  callers: \"{callers}\"\n  readiness: \"{}\"\n  \
+         addresses: \"{}\"\n  peers: \"{}\"\nstore: \"{}\"\naddress_lifetime_ms: 200\n\
+         shutdown_grace_ms: {}\nrepeat_ratio: 0.2\nrepeat_allowance: 50\nrepeat_window_ms: 10000\n\
+         usage_window_ms: 5000\nusage_due_ms: 10000\n",
+        reserve_address(),
+        reserve_address(),
+        reserve_address(),
+        reserve_address(),
+        GRACE.as_millis(),
+    );
+    Settings { text, callers }
+}
+
+fn write(name: &str, text: &str) -> String {
+    let path = std::env::temp_dir().join(format!("jujubebeam-{}-{name}.yaml", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path.to_string_lossy().into_owned()
+}
+
+fn gateway(path: &str) -> Command {
+    let mut command = Command::new(BINARY);
+    command.args(["gateway", "--config", path]);
+    command
+}
+
+fn wait_for_exit(child: &mut Child, limit: Duration) -> Option<Duration> {
+    let start = Instant::now();
+    while start.elapsed() < limit {
+        if child.try_wait().unwrap().is_some() {
+            return Some(start.elapsed());
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    child.kill().unwrap();
+    None
+}
+
+/// Guards against faults in the settings that are found only when a request meets them.
+#[test]
+fn faults_in_the_settings_are_named() {
+    let sound = settings().text;
+    let path = write("sound", &sound);
+    assert!(gateway(&path).arg("--check").status().unwrap().success());
+    for (fault, named) in [
+        (sound.replace("zone: a", "zone: a\nzones: b"), "zones"),
+        (sound.replace("usage_window_ms: 5000", "usage_window_ms: 0"), "usage_window_ms"),
+        (format!("{sound}workers: 0\n"), "workers"),
+        (format!("{sound}prefill_part: 2\n"), "prefill_part"),
+    ] {
+        let path = write("fault", &fault);
+        let output = gateway(&path).arg("--check").output().unwrap();
+        assert_eq!(output.status.code(), Some(2), "{named}");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(text.contains(named), "{named}: {text}");
+    }
+}
+
+/// Guards against a shutdown that waits for idle connections of callers until it is killed.
+#[test]
+fn an_idle_caller_does_not_hold_a_shutdown() {
+    let settings = settings();
+    let path = write("shutdown", &settings.text);
+    let mut child = gateway(&path).stdout(Stdio::null()).spawn().unwrap();
+    let started = Instant::now();
+    let idle = loop {
+        if let Ok(stream) = TcpStream::connect(settings.callers) {
+            break stream;
+        }
+        assert!(started.elapsed() < Duration::from_secs(10), "the gateway listens");
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    let signal = Command::new("kill")
+        .args(["-TERM", &child.id().to_string()])
+        .status();
+    assert!(signal.unwrap().success());
+    let took = wait_for_exit(&mut child, GRACE);
+    drop(idle);
+    assert!(took.is_some(), "the process ends within its grace period");
+}
