--- a/crates/jujubebeam/tests/gateway.rs
+++ b/crates/jujubebeam/tests/gateway.rs
@@ -1,7 +1,7 @@
 //! The gateway as a process: settings check, start without a store, and shutdown.
 
 use std::net::TcpStream;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 use jujubebeam_testport::reserve_address;
@@ -44,11 +44,14 @@
     command
 }
 
-fn wait_for_exit(child: &mut Child, limit: Duration) -> Option<Duration> {
+/// Time after which a process that listens surely handles signals.
+const SETTLE: Duration = Duration::from_millis(500);
+
+fn wait_for_exit(child: &mut Child, limit: Duration) -> Option<ExitStatus> {
     let start = Instant::now();
     while start.elapsed() < limit {
-        if child.try_wait().unwrap().is_some() {
-            return Some(start.elapsed());
+        if let Some(status) = child.try_wait().unwrap() {
+            return Some(status);
         }
         std::thread::sleep(Duration::from_millis(10));
     }
@@ -64,7 +67,10 @@
     assert!(gateway(&path).arg("--check").status().unwrap().success());
     for (fault, named) in [
         (sound.replace("zone: a", "zone: a\nzones: b"), "zones"),
-        (sound.replace("usage_window_ms: 5000", "usage_window_ms: 0"), "usage_window_ms"),
+        (
+            sound.replace("usage_window_ms: 5000", "usage_window_ms: 0"),
+            "usage_window_ms",
+        ),
         (format!("{sound}workers: 0\n"), "workers"),
         (format!("{sound}prefill_part: 2\n"), "prefill_part"),
     ] {
@@ -87,14 +93,22 @@
         if let Ok(stream) = TcpStream::connect(settings.callers) {
             break stream;
         }
-        assert!(started.elapsed() < Duration::from_secs(10), "the gateway listens");
+        assert!(
+            started.elapsed() < Duration::from_secs(10),
+            "the gateway listens"
+        );
         std::thread::sleep(Duration::from_millis(20));
     };
+    std::thread::sleep(SETTLE);
     let signal = Command::new("kill")
         .args(["-TERM", &child.id().to_string()])
         .status();
     assert!(signal.unwrap().success());
-    let took = wait_for_exit(&mut child, GRACE);
+    let status = wait_for_exit(&mut child, GRACE);
     drop(idle);
-    assert!(took.is_some(), "the process ends within its grace period");
+    let status = status.expect("the process ends within its grace period");
+    assert!(
+        status.success(),
+        "{status}: the process ended by the signal alone"
+    );
 }
