--- a/crates/core/src/authority/lease.rs
+++ b/crates/core/src/authority/lease.rs
@@ -88,6 +88,11 @@
         holds.then_some(self.fence)
     }
 
+    pub(super) fn holds_for(&self, now: Duration) -> Option<Duration> {
+        self.fence_at(now)?;
+        Some(self.valid_until.saturating_sub(now))
+    }
+
     pub(super) fn is_idle(&self) -> bool {
         self.phase == Phase::Idle && self.call.is_none()
     }
--- a/crates/core/src/authority/machine.rs
+++ b/crates/core/src/authority/machine.rs
@@ -260,6 +260,11 @@
         self.scopes.get(scope)?.fence_at(now)
     }
 
+    /// Time for which this vm surely holds a scope from `now` on.
+    pub fn holds_for(&self, scope: &Scope, now: Duration) -> Option<Duration> {
+        self.scopes.get(scope)?.holds_for(now)
+    }
+
     /// Fence of a scope if this vm holds it at `now`, with its unsettled orders by target.
     pub fn held(&self, scope: &Scope, now: Duration) -> Option<(Fence, Vec<(String, O)>)> {
         let state = self.scopes.get(scope)?;
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -1,7 +1,9 @@
 //! The clock that the shell and the tests hand to the machines.
 
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use nix::time::ClockId;
 
 /// Source of monotonic time, passed in so that tests control it.
 pub trait Clock {
@@ -9,17 +11,28 @@
     fn now(&self) -> Duration;
 }
 
-/// Monotonic clock of the operating system.
+/// Clock of the operating system that counts the time for which the machine was suspended.
+///
+/// `std::time::Instant` leaves that time out. A vm that was suspended for longer than its lease would
+/// then go on to act beside the next holder.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
-    start: Instant,
+    start: Duration,
+}
+
+/// Time since the machine was started, with suspensions. The clock exists on all supported systems;
+/// zero would only make each lease look expired.
+fn since_boot() -> Duration {
+    ClockId::CLOCK_BOOTTIME
+        .now()
+        .map_or(Duration::ZERO, Duration::from)
 }
 
 impl SystemClock {
     /// Creates a clock that starts at zero.
     pub fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 }
@@ -32,7 +45,7 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Duration {
-        self.start.elapsed()
+        since_boot().saturating_sub(self.start)
     }
 }
 
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -5,10 +5,13 @@
 //! `docs/platform.md`.
 
 mod admission;
+mod answer_check;
 mod budget;
 mod catalog;
+mod leaving;
 mod mirror;
 mod outcome;
+mod pauses;
 mod placement;
 mod roles;
 mod scale;
@@ -17,12 +20,16 @@
 mod usage_window;
 
 pub use admission::Admission;
+pub use answer_check::{AnswerClaim, AnswerVerdict, judge_answer};
 pub use budget::{ArrivalBudget, ArrivalBudgetConfig};
 pub use catalog::{Catalog, CatalogTarget, Stage, TargetKey, TargetPhase};
+pub use leaving::TargetRun;
 pub use mirror::{Mirror, MirrorDelta, MirrorItem};
 pub use outcome::{AttemptEnd, FinalAnswer, NextStep, Repeatability, RequestProgress};
+pub use pauses::{PauseLimits, longest_pause};
 pub use placement::{
-    EnginePath, LoadReport, PlaceRequest, Placed, PlacementConfig, Placer, PromptPart, RefusedPlace,
+    EnginePath, LeftOut, LoadReport, PlaceRequest, Placed, PlacementConfig, Placer, PromptPart,
+    RefusedPlace,
 };
 pub use roles::{RolePolicy, stage_changes};
 pub use scale::{CountOrder, ScalePolicy, Scaler};
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -1,12 +1,22 @@
 //! The targets that exist, as their entries in the store say.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
 
-/// Key of one run of a target. A restart, a new id or a new address gives a new key.
+use super::leaving::{LeavingRuns, TargetRun};
+
+/// Targets that are gone and whose keys are remembered, as their entries may have lapsed only.
+const REMEMBERED_KEYS: usize = 512;
+
+/// Most runs in one message to another vm. More than these leave at once only when a zone is taken
+/// away, and the rest follows with the next message.
+const TOLD_RUNS: usize = 64;
+
+/// Key of one run of a target. A restart, a new id or a new address gives a new key; an entry of the
+/// same run that lapsed and came back keeps it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TargetKey(pub u32);
 
@@ -84,6 +94,11 @@
     missing: HashMap<TargetKey, Duration>,
     /// When a target last came or went.
     changed_at: Duration,
+    /// Keys of targets that are gone, oldest first.
+    gone: VecDeque<(TargetRun, TargetKey)>,
+    leaving: LeavingRuns,
+    /// Targets that exist and said that they leave.
+    leaving_keys: BTreeSet<TargetKey>,
 }
 
 impl Catalog {
@@ -97,13 +112,19 @@
             if same.is_none() {
                 self.changed_at = now;
             }
-            let key = same.unwrap_or_else(|| self.new_key());
+            let key = same
+                .or_else(|| self.returned(&entry))
+                .unwrap_or_else(|| self.new_key());
             if let Some(old) = known.filter(|old| *old != key) {
                 self.targets.remove(&old);
+                self.leaving_keys.remove(&old);
             }
             self.by_id.insert(entry.id.clone(), key);
             self.missing.remove(&key);
             seen.insert(key);
+            if self.leaving.contains(&entry) {
+                self.leaving_keys.insert(key);
+            }
             self.targets.insert(key, entry);
         }
         let missing: Vec<_> = self.targets.keys().copied().collect();
@@ -123,12 +144,18 @@
             .collect();
         for key in gone {
             self.missing.remove(&key);
+            self.leaving_keys.remove(&key);
             self.changed_at = now;
-            if let Some(target) = self.targets.remove(&key)
-                && self.by_id.get(&target.id) == Some(&key)
-            {
+            let Some(target) = self.targets.remove(&key) else {
+                continue;
+            };
+            if self.by_id.get(&target.id) == Some(&key) {
                 self.by_id.remove(&target.id);
             }
+            if self.gone.len() == REMEMBERED_KEYS {
+                self.gone.pop_front();
+            }
+            self.gone.push_back((TargetRun::of(&target), key));
         }
     }
 
@@ -154,11 +181,66 @@
             .filter_map(|key| Some((*key, self.targets.get(key)?)))
     }
 
+    /// Targets that take new work, in the order of their ids.
+    pub fn usable(&self) -> impl Iterator<Item = (TargetKey, &CatalogTarget)> {
+        self.iter()
+            .filter(|(key, target)| target.phase == TargetPhase::Ready && !self.said_leaving(*key))
+    }
+
+    /// A target said that it leaves. Returns whether that is new.
+    pub fn says_leaving(&mut self, key: TargetKey) -> bool {
+        let Some(target) = self.targets.get(&key) else {
+            return false;
+        };
+        self.leaving_keys.insert(key);
+        self.leaving.insert(TargetRun::of(target))
+    }
+
+    /// Another vm heard that these runs leave. Returns the targets of which that is new.
+    pub fn hear_leaving(&mut self, runs: Vec<TargetRun>) -> Vec<TargetKey> {
+        let mut news = Vec::new();
+        for run in runs {
+            let key = self.by_id.get(&run.id).copied();
+            let is_new = self.leaving.insert(run);
+            let Some((key, target)) = key.and_then(|key| Some((key, self.targets.get(&key)?)))
+            else {
+                continue;
+            };
+            if is_new && self.leaving.contains(target) {
+                self.leaving_keys.insert(key);
+                news.push(key);
+            }
+        }
+        news
+    }
+
+    /// Whether a target said that it leaves.
+    pub fn said_leaving(&self, key: TargetKey) -> bool {
+        self.leaving_keys.contains(&key)
+    }
+
+    /// Runs that other vms should know of: targets that said that they leave while their entries
+    /// call them ready.
+    pub fn leaving_runs(&self) -> Vec<TargetRun> {
+        let ready = self.leaving_keys.iter().filter_map(|key| {
+            let target = self.targets.get(key)?;
+            (target.phase == TargetPhase::Ready).then(|| TargetRun::of(target))
+        });
+        ready.take(TOLD_RUNS).collect()
+    }
+
     /// When a target last came or went.
     pub fn changed_at(&self) -> Duration {
         self.changed_at
     }
 
+    /// Key of a run whose entry had lapsed, so that what is known of the target still holds.
+    fn returned(&mut self, entry: &CatalogTarget) -> Option<TargetKey> {
+        let run = TargetRun::of(entry);
+        let index = self.gone.iter().position(|(gone, _)| *gone == run)?;
+        self.gone.remove(index).map(|(_, key)| key)
+    }
+
     fn new_key(&mut self) -> TargetKey {
         self.next_key += 1;
         TargetKey(self.next_key)
--- /dev/null
+++ b/crates/core/src/gateway/leaving.rs
@@ -0,0 +1,62 @@
+//! Runs of targets that said themselves that they leave.
+//!
+//! A target tells in its answers that it leaves, before or without its entry in the store saying so.
+//! The statement holds for one run: a restart under the same id and address is another run. It is
+//! kept when the entry lapses, because the same entry may come back.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use super::catalog::CatalogTarget;
+
+/// Runs that are remembered. A fleet of 1,400 targets replaces 470 on an ordinary day.
+const REMEMBERED_RUNS: usize = 1024;
+
+/// One run of a target, as vms name it to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRun {
+    /// Id of the target.
+    pub id: String,
+    /// Address as `ip:port`.
+    pub address: String,
+    /// Start of the run in milliseconds since 1970, or 0 if unknown.
+    pub born_ms: u64,
+}
+
+impl TargetRun {
+    /// The run that an entry describes.
+    pub fn of(target: &CatalogTarget) -> Self {
+        Self {
+            id: target.id.clone(),
+            address: target.address.clone(),
+            born_ms: target.born_ms,
+        }
+    }
+
+    fn is_run_of(&self, target: &CatalogTarget) -> bool {
+        self.born_ms == target.born_ms && self.id == target.id && self.address == target.address
+    }
+}
+
+/// Runs that leave, oldest statement first.
+#[derive(Debug, Default)]
+pub(super) struct LeavingRuns(VecDeque<TargetRun>);
+
+impl LeavingRuns {
+    /// Remembers a run. Returns false if it is known already.
+    pub(super) fn insert(&mut self, run: TargetRun) -> bool {
+        if self.0.contains(&run) {
+            return false;
+        }
+        if self.0.len() == REMEMBERED_RUNS {
+            self.0.pop_front();
+        }
+        self.0.push_back(run);
+        true
+    }
+
+    pub(super) fn contains(&self, target: &CatalogTarget) -> bool {
+        self.0.iter().any(|run| run.is_run_of(target))
+    }
+}
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -77,6 +77,8 @@
     pub placed_at: Duration,
     /// Rank of the target among the homes of the prompt; 0 is the home itself.
     pub home_rank: usize,
+    /// Targets of the service that were left out.
+    pub left_out: LeftOut,
 }
 
 /// How an engine service runs a request.
@@ -88,6 +90,15 @@
     Split(Placed),
 }
 
+/// Targets of a service that no request is sent to, by what they said of themselves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeftOut {
+    /// Targets that said that they leave.
+    pub leaving: u32,
+    /// Targets that asked for rest.
+    pub resting: u32,
+}
+
 /// Why no target was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusedPlace {
@@ -100,6 +111,11 @@
         /// Predicted wait at the best target.
         wait: Duration,
     },
+    /// All targets that could run the request asked for rest.
+    Resting {
+        /// When the first of them takes work again.
+        retry_after: Duration,
+    },
 }
 
 /// Chooses targets and keeps what this vm knows of their load.
@@ -168,7 +184,7 @@
         let best = candidates
             .into_iter()
             .min_by(|a, b| rank(a).total_cmp(&rank(b)))
-            .ok_or(RefusedPlace::NoTarget)?;
+            .ok_or_else(|| self.no_candidate(catalog, request, now))?;
         self.admit(request, best.wait_ms)?;
         let placed = Placed {
             key: best.key,
@@ -180,6 +196,7 @@
             report: self.states.get(&best.key).and_then(|s| s.last_report(now)),
             placed_at: now,
             home_rank: best.home_rank,
+            left_out: self.left_out(catalog, request.service, now),
         };
         self.started(&placed, request.parts, now);
         Ok(placed)
@@ -211,7 +228,8 @@
             let times = candidates.iter().map(|c| (c.predicted_ms, c.wait_ms));
             times.min_by(|a, b| a.0.total_cmp(&b.0))
         };
-        let (direct_ms, direct_wait_ms) = best(request).ok_or(RefusedPlace::NoTarget)?;
+        let (direct_ms, direct_wait_ms) =
+            best(request).ok_or_else(|| self.no_candidate(catalog, request, now))?;
         let all_tokens: u64 = request.parts.iter().map(|part| part.tokens).sum();
         let decode_ms = all_tokens as f64 / self.config.decode_prefill_tokens_per_ms;
         let direct_cost_ms = direct_ms * self.config.decode_prompt_cost;
@@ -360,10 +378,12 @@
         }
     }
 
-    /// Forgets targets that are gone and that no request uses.
-    pub fn forget_gone(&mut self, catalog: &Catalog) {
-        self.states
-            .retain(|key, state| state.in_flight > 0 || catalog.get(*key).is_some());
+    /// Forgets targets that are gone, that no request uses and that wish no rest. An entry that
+    /// lapses does not end a rest.
+    pub fn forget_gone(&mut self, catalog: &Catalog, now: Duration) {
+        self.states.retain(|key, state| {
+            state.in_flight > 0 || state.rest_until > now || catalog.get(*key).is_some()
+        });
     }
 
     fn candidates<'a>(
@@ -372,16 +392,10 @@
         request: &PlaceRequest<'_>,
         now: Duration,
     ) -> Vec<Candidate<'a>> {
-        let usable = |stage_matters: bool| {
-            catalog.iter().filter(move |(key, target)| {
-                target.service == request.service
-                    && target.phase == TargetPhase::Ready
-                    && !request.excluded.contains(key)
-                    && (!stage_matters || target.stage == request.stage)
-                    && !self.is_changing(*key, target, now)
-            })
-        };
-        let all: Vec<_> = usable(request.stage.is_some()).collect();
+        let all: Vec<_> = self
+            .eligible(catalog, request, now)
+            .filter(|(key, _)| self.rest(*key, now).is_zero())
+            .collect();
         let sound: Vec<_> = all
             .iter()
             .filter(|(key, _)| self.is_sound(*key, now))
@@ -399,6 +413,63 @@
             .collect()
     }
 
+    /// Targets that could run the request, those that rest included.
+    fn eligible<'a>(
+        &self,
+        catalog: &'a Catalog,
+        request: &PlaceRequest<'_>,
+        now: Duration,
+    ) -> impl Iterator<Item = (TargetKey, &'a CatalogTarget)> {
+        catalog.usable().filter(move |(key, target)| {
+            target.service == request.service
+                && !request.excluded.contains(key)
+                && (request.stage.is_none() || target.stage == request.stage)
+                && !self.is_changing(*key, target, now)
+        })
+    }
+
+    /// Why there is no candidate.
+    fn no_candidate(
+        &self,
+        catalog: &Catalog,
+        request: &PlaceRequest<'_>,
+        now: Duration,
+    ) -> RefusedPlace {
+        let eligible = self.eligible(catalog, request, now);
+        let first_back = eligible.map(|(key, _)| self.rest(key, now)).min();
+        match first_back {
+            Some(retry_after) => RefusedPlace::Resting { retry_after },
+            None => RefusedPlace::NoTarget,
+        }
+    }
+
+    /// Time for which a target still wants no work from this vm.
+    pub fn rest(&self, key: TargetKey, now: Duration) -> Duration {
+        let until = self
+            .states
+            .get(&key)
+            .map_or(Duration::ZERO, |s| s.rest_until);
+        until.saturating_sub(now)
+    }
+
+    /// The target wants nothing from this vm for a time. A later, shorter wish does not end an
+    /// earlier one.
+    pub fn rests(&mut self, key: TargetKey, stage: Option<Stage>, time: Duration, now: Duration) {
+        let state = self.state(key, stage);
+        state.rest_until = state.rest_until.max(now.saturating_add(time));
+    }
+
+    /// Targets of a service that are left out because they leave or rest.
+    pub fn left_out(&self, catalog: &Catalog, service: &str, now: Duration) -> LeftOut {
+        let mut left_out = LeftOut::default();
+        for (key, target) in catalog.iter().filter(|(_, t)| t.service == service) {
+            left_out.leaving += u32::from(catalog.said_leaving(key));
+            let rests = target.phase == TargetPhase::Ready && !self.rest(key, now).is_zero();
+            left_out.resting += u32::from(rests);
+        }
+        left_out
+    }
+
     fn is_sound(&self, key: TargetKey, now: Duration) -> bool {
         self.states.get(&key).is_none_or(|state| {
             now >= state.avoided_until && !state.is_silent(self.config.silent_after, now)
--- a/crates/core/src/gateway/placement/load.rs
+++ b/crates/core/src/gateway/placement/load.rs
@@ -99,6 +99,8 @@
     pub(super) failing: f64,
     pub(super) ejections: u32,
     pub(super) avoided_until: Duration,
+    /// Until when the target wants nothing from this vm.
+    pub(super) rest_until: Duration,
     /// Refusals since the last answer.
     pub(super) refusals: u32,
     /// Stage that the engine was ordered to take, and until when that is believed.
--- a/crates/core/src/gateway/roles.rs
+++ b/crates/core/src/gateway/roles.rs
@@ -5,7 +5,7 @@
 
 use smallvec::SmallVec;
 
-use super::catalog::{Catalog, CatalogTarget, Stage, TargetKey, TargetPhase};
+use super::catalog::{Catalog, CatalogTarget, Stage, TargetKey};
 
 /// Options of the distribution of stages.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -36,9 +36,8 @@
     policy: RolePolicy,
 ) -> SmallVec<[(TargetKey, Stage); 4]> {
     let engines: Vec<_> = catalog
-        .iter()
-        .filter(|(_, t)| t.service == service && t.phase == TargetPhase::Ready)
-        .filter(|(_, t)| t.stage.is_some())
+        .usable()
+        .filter(|(_, t)| t.service == service && t.stage.is_some())
         .collect();
     let count = engines.len();
     // The last engine of a stage is never taken away.
--- a/crates/core/src/gateway/scale.rs
+++ b/crates/core/src/gateway/scale.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::catalog::{Catalog, TargetPhase};
+use super::catalog::Catalog;
 use super::settings::Service;
 
 /// An order for a number of engines.
@@ -77,8 +77,9 @@
             }
             let room = limits.max_per_zone.saturating_sub(regular);
             let count = policy.reclaimable_per_zone.min(room);
-            let present = of_zone()
-                .filter(|t| t.is_reclaimable && t.phase == TargetPhase::Ready)
+            let present = catalog
+                .usable()
+                .filter(|(_, t)| t.service == service.name && t.zone == *zone && t.is_reclaimable)
                 .count() as u32;
             let key = (service.name.clone(), zone.clone());
             let last = self.ordered.get(&key);
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -49,6 +49,8 @@
     pub timeout: Duration,
     /// Time within which an answer earns full credit.
     pub latency_aim: Duration,
+    /// Longest pause between two events with which a stream is still on time; zero if not named.
+    pub pause_aim: Duration,
     /// Number of targets to which one request may be sent.
     pub max_attempts: u32,
     /// Rank, 0 is the highest.
--- a/crates/core/tests/gateway_decisions.rs
+++ b/crates/core/tests/gateway_decisions.rs
@@ -258,7 +258,7 @@
                 assert!(retry_after >= ms(400));
                 refused += 1;
             }
-            Err(RefusedPlace::NoTarget) => panic!("there are engines"),
+            Err(refused) => panic!("there are engines: {refused:?}"),
         }
     }
     // Three prefill engines compute about 8 whole prompts each in 80 ms and what they have begun,
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jujubebeam_core::gateway::FinalAnswer;
+use jujubebeam_core::gateway::{FinalAnswer, LeftOut};
 use ntex::http::header::RETRY_AFTER;
 use ntex::http::{HeaderMap, StatusCode};
 use ntex::web::HttpResponse;
@@ -34,6 +34,8 @@
     SlowBody,
     /// No target of the service takes new work.
     NoTarget,
+    /// All targets asked for rest.
+    TargetsRest,
     /// The answer would come too late.
     Overloaded,
     /// The request crashed several targets.
@@ -56,6 +58,8 @@
     pub(crate) wait: Option<Duration>,
     /// Longest wait with which the request would have been sent.
     pub(crate) longest_wait: Option<Duration>,
+    /// Targets that were left out because they leave or rest.
+    pub(crate) left_out: LeftOut,
 }
 
 impl Refusal {
@@ -67,6 +71,7 @@
             retry_after: Some(retry_after),
             wait: None,
             longest_wait: None,
+            left_out: LeftOut::default(),
         }
     }
 
@@ -85,6 +90,7 @@
             retry_after: None,
             wait: None,
             longest_wait: None,
+            left_out: LeftOut::default(),
         }
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,22 +3,27 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Response, header};
 use http_body_util::BodyExt;
-use jujubebeam_core::gateway::{AttemptEnd, Placed, Repeatability};
+use jujubebeam_core::gateway::{
+    AnswerClaim, AnswerVerdict, AttemptEnd, Placed, Repeatability, judge_answer,
+};
 use jujubebeam_core::quarantine::{QuarantineCommand, QuarantineEvent, Verdict};
 use jujubebeam_core::{Machine, TargetId};
 use ntex::http::StatusCode;
 use ntex::util::Bytes as NtexBytes;
 use ntex::web::HttpResponse;
+use tokio::time::timeout;
 
 use crate::answer::TargetHeaders;
 use crate::connection::{SendError, TargetConnection};
 use crate::edges::{AnswerHead, Edges, Wire, Work};
 use crate::job::{HOP_HEADERS, Job};
 use crate::message::Message;
+use crate::notice;
 use crate::peers;
 use crate::server::Context;
 use crate::state::Shared;
@@ -28,6 +33,12 @@
 /// Longest answer of a plain service that is read as a whole before it is passed on.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
+/// Longest body of a refusal that is read.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+
+/// Time for the body of a refusal, which comes with its head. A new connection costs as much.
+const REFUSAL_TIME: Duration = Duration::from_millis(20);
+
 /// Connections to a target that are left to callers outside the system and to restarts of vms.
 const CONNECTION_SHARE: f64 = 0.8;
 
@@ -115,6 +126,7 @@
         response.status().as_u16(),
         &TargetHeaders(response.headers()),
     );
+    notice::learn(context, placed.key, target, head.notice);
     check_head(context, job, placed, work, &head, response, connection).await
 }
 
@@ -129,32 +141,50 @@
 ) -> Result<(Response<hyper::body::Incoming>, TargetConnection), (AttemptEnd, String)> {
     let shared = &context.shared;
     let now = shared.now();
-    let echoed = head.attempt_id.as_deref();
-    if head.not_run && echoed.is_none_or(|id| id == job.incoming.attempt_id) {
-        shared.fleet().placer.refused(placed, head.load, now);
-        let status = response.status();
-        if response.into_body().collect().await.is_ok() {
-            context.pool.release(placed.key, connection);
+    let claim = AnswerClaim {
+        request_id: &job.incoming.attempt_id,
+        echoed_id: head.attempt_id.as_deref(),
+        is_first_on_connection: connection.is_first_exchange(),
+        says_not_run: head.not_run,
+        is_prompt: work == Work::Prompt,
+        is_success: response.status().is_success(),
+        is_signed: head.is_signed,
+        is_encoded: response.headers().contains_key(header::CONTENT_ENCODING),
+    };
+    match judge_answer(&claim) {
+        AnswerVerdict::Own => {
+            shared.fleet().placer.first_byte(placed, head.load, now);
+            let is_named = claim.echoed_id.is_some();
+            let connection = connection.reusable_if(is_named && !head.notice.is_leaving);
+            Ok((response, connection))
+        }
+        AnswerVerdict::NotRun => {
+            shared.fleet().placer.refused(placed, head.load, now);
+            let status = response.status();
+            let is_named = claim.echoed_id.is_some();
+            let connection = connection.reusable_if(is_named && !head.notice.is_leaving);
+            if read_rest(response.into_body()).await {
+                context.pool.release(placed.key, connection);
+            }
+            Err((AttemptEnd::NotRun, format!("refused with {status}")))
+        }
+        // Dropping the connection closes it; whatever else it brings cannot be trusted.
+        AnswerVerdict::OfAnotherRequest => {
+            shared.fleet().placer.failed(placed, now);
+            Err((AttemptEnd::Broken, "answer of another request".into()))
+        }
+        AnswerVerdict::NotGenuine => {
+            shared.fleet().placer.failed(placed, now);
+            Err((AttemptEnd::Broken, "answer is not the target's own".into()))
         }
-        return Err((AttemptEnd::NotRun, format!("refused with {status}")));
-    }
-    // The answer to a computed prompt is not meant for the caller and may bear no id or signature.
-    let is_prompt = work == Work::Prompt;
-    let is_mine = echoed == Some(job.incoming.attempt_id.as_str());
-    let is_unnamed_prompt = is_prompt && echoed.is_none();
-    if !is_mine && !is_unnamed_prompt {
-        // The answer belongs to another request; its connection cannot be trusted any more.
-        shared.fleet().placer.failed(placed, now);
-        return Err((AttemptEnd::Broken, "answer of another request".into()));
-    }
-    let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
-    let unsigned_success = response.status().is_success() && !head.is_signed && !is_prompt;
-    if encoded || unsigned_success {
-        shared.fleet().placer.failed(placed, now);
-        return Err((AttemptEnd::Broken, "answer is not the target's own".into()));
     }
-    shared.fleet().placer.first_byte(placed, head.load, now);
-    Ok((response, connection))
+}
+
+/// Reads what is left of a refusal, so that its connection can be used again. Returns false if there
+/// is more than a short text or it does not come at once; the caller waits for its answer.
+async fn read_rest(body: hyper::body::Incoming) -> bool {
+    let body = http_body_util::Limited::new(body, MAX_REFUSAL_BYTES);
+    matches!(timeout(REFUSAL_TIME, body.collect()).await, Ok(Ok(_)))
 }
 
 fn send_failed<E: Edges>(
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jujubebeam_core::gateway::PauseLimits;
 use serde::{Deserialize, Serialize};
 
 /// Settings of a gateway process.
@@ -52,6 +53,10 @@
     /// Reclaimable engines that are ordered in each zone.
     #[serde(default = "default_reclaimable_per_zone")]
     pub reclaimable_per_zone: u32,
+    /// Gaps of a stream after which its caller has left; a stalled stream ends then, or goes on at
+    /// another target before.
+    #[serde(default)]
+    pub stream_gaps: StreamGaps,
     /// Whether targets refuse orders with an old fence.
     #[serde(default)]
     pub targets_check_fences: bool,
@@ -60,6 +65,32 @@
     pub log_level: String,
 }
 
+/// Gaps of a stream after which its caller has left: the longest of the three.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StreamGaps {
+    /// Gap that a caller bears on every route.
+    pub shortest_ms: u64,
+    /// Latency aims of the route that a caller bears.
+    pub latency_aims: f64,
+    /// Longest pauses for an answer on time that a caller bears.
+    pub pause_aims: f64,
+    /// Part of the gap after which another target continues a stream that may be resumed.
+    pub resume_part: f64,
+}
+
+impl Default for StreamGaps {
+    fn default() -> Self {
+        let limits = PauseLimits::default();
+        Self {
+            shortest_ms: limits.shortest.as_millis() as u64,
+            latency_aims: limits.latency_aims,
+            pause_aims: limits.pause_aims,
+            resume_part: limits.resume_part,
+        }
+    }
+}
+
 /// Addresses that a gateway listens on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -106,6 +137,14 @@
         if !(0.0..=1.0).contains(&config.prefill_part) {
             return Err("prefill_part: use a part from 0 to 1".into());
         }
+        let gaps = config.stream_gaps;
+        let factors = [gaps.latency_aims, gaps.pause_aims];
+        if gaps.shortest_ms == 0 || factors.iter().any(|f| !(0.0..=1000.0).contains(f)) {
+            return Err("stream_gaps: use a shortest_ms above 0 and factors from 0 to 1000".into());
+        }
+        if !(0.0..=1.0).contains(&gaps.resume_part) || gaps.resume_part == 0.0 {
+            return Err("stream_gaps.resume_part: use a part above 0, at most 1".into());
+        }
         if config.shutdown_grace_ms < 2000 {
             return Err(
                 "shutdown_grace_ms: callers keep addresses for seconds; use 2000 or more".into(),
@@ -114,6 +153,15 @@
         Ok(config)
     }
 
+    pub(crate) fn pause_limits(&self) -> PauseLimits {
+        PauseLimits {
+            shortest: Duration::from_millis(self.stream_gaps.shortest_ms),
+            latency_aims: self.stream_gaps.latency_aims,
+            pause_aims: self.stream_gaps.pause_aims,
+            resume_part: self.stream_gaps.resume_part,
+        }
+    }
+
     /// How long callers may keep an address.
     pub(crate) fn address_lifetime(&self) -> Duration {
         Duration::from_millis(self.address_lifetime_ms)
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -8,17 +8,20 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use jujubebeam_core::gateway::TargetKey;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
 /// Time for a connection to be established. Zones are at most some milliseconds apart; a lost
@@ -45,6 +48,13 @@
 /// meets a closing connection has no known outcome.
 const ONCE_IDLE: Duration = Duration::from_millis(250);
 
+/// Bytes of a head, or of a body that is passed on, which one connection holds.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Interim answers (1xx) to one request after which its connection is given up. A target has use for
+/// one or two.
+const MAX_INTERIM: u32 = 16;
+
 /// Idle connections to one target that are kept.
 const MAX_IDLE: usize = 16;
 
@@ -52,6 +62,10 @@
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
+    /// Requests that were sent over it.
+    exchanges: u32,
+    /// Whether it may carry another request.
+    is_reusable: bool,
     idle_since: Instant,
     idle_limit: Duration,
     open: Rc<OpenCount>,
@@ -125,6 +139,8 @@
         };
         Ok(TargetConnection {
             sender,
+            exchanges: 0,
+            is_reusable: true,
             idle_since: Instant::now(),
             idle_limit: DEFAULT_IDLE,
             open,
@@ -152,7 +168,8 @@
     pub(crate) fn release(&self, target: TargetKey, mut connection: TargetConnection) {
         let mut pools = self.0.borrow_mut();
         let pool = pools.entry(target).or_default();
-        if pool.idle.len() < MAX_IDLE && !connection.sender.is_closed() {
+        let is_usable = connection.is_reusable && !connection.sender.is_closed();
+        if pool.idle.len() < MAX_IDLE && is_usable {
             connection.idle_since = Instant::now();
             pool.idle.push(connection);
         }
@@ -178,12 +195,25 @@
 }
 
 impl TargetConnection {
-    /// Sends a request and returns the head of its answer.
+    /// Sends a request and returns the head of its answer. Dropping the connection afterwards closes
+    /// it, also after an error.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        match self.sender.try_send_request(request).await {
+        self.exchanges += 1;
+        let interim = Interim::default();
+        let counted = interim.clone();
+        hyper::ext::on_informational(&mut request, move |_| counted.count());
+        let sent = tokio::select! {
+            // An answer that has come goes before the count.
+            biased;
+            sent = self.sender.try_send_request(request) => sent,
+            () = interim.too_many() => {
+                return Err(SendError::NoAnswer("interim answers without an end".into()));
+            }
+        };
+        match sent {
             Ok(response) => {
                 self.idle_limit = idle_limit(&response);
                 Ok(response)
@@ -198,6 +228,41 @@
             }
         }
     }
+
+    /// Whether the request that was sent last is the first on this connection.
+    pub(crate) fn is_first_exchange(&self) -> bool {
+        self.exchanges <= 1
+    }
+
+    /// Says whether the connection may carry another request. One that brought an answer without an id
+    /// may not: a copy of that answer could not be told from the next one.
+    pub(crate) fn reusable_if(mut self, is_reusable: bool) -> Self {
+        self.is_reusable &= is_reusable;
+        self
+    }
+}
+
+/// Interim answers to one request.
+#[derive(Clone, Debug, Default)]
+struct Interim(Arc<InterimCount>);
+
+#[derive(Debug, Default)]
+struct InterimCount {
+    count: AtomicU32,
+    exceeded: Notify,
+}
+
+impl Interim {
+    fn count(&self) {
+        if self.0.count.fetch_add(1, Ordering::Relaxed) + 1 == MAX_INTERIM {
+            self.0.exceeded.notify_one();
+        }
+    }
+
+    /// Ends when there are more than a target has any use for.
+    async fn too_many(&self) {
+        self.0.exceeded.notified().await;
+    }
 }
 
 async fn open_connection(address: &str) -> Result<SendRequest<Full<Bytes>>, String> {
@@ -206,7 +271,9 @@
         .await
         .map_err(|e| e.to_string())?;
     set_options(&stream);
-    let (sender, connection) = handshake(TokioIo::new(stream))
+    let (sender, connection) = Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|e| e.to_string())?;
     ntex::rt::spawn(async move {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -114,7 +114,7 @@
             let mut fleet = shared.fleet();
             let fleet = &mut *fleet;
             fleet.catalog.forget_gone(now);
-            fleet.placer.forget_gone(&fleet.catalog);
+            fleet.placer.forget_gone(&fleet.catalog, now);
             fleet.placer.set_vms(vms);
         }
         sleep(TICK_INTERVAL).await;
@@ -351,6 +351,9 @@
                     targets: mirrors.targets.complete(),
                 }
             }];
+            // Also an empty list is sent: a vm that has just started asks what others have heard.
+            let leaving = shared.fleet().catalog.leaving_runs();
+            messages.push(Message::Leaving(leaving));
             copies = !copies;
             if copies {
                 let newest = shared.usage().windows.own_newest(COPIED_WINDOWS);
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -15,11 +15,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::GatewayDuty;
-use crate::edges::{DutiesApi, DutyResult, Edges, StoreApi};
+use crate::edges::{Authorised, DutiesApi, DutyResult, Edges, StoreApi};
 use crate::journal::{LineKind, decision};
 use crate::message::Message;
+use crate::notice;
 use crate::peers;
 use crate::server::Context;
+use crate::state::Shared;
 
 /// Time in which a message reaches the other vms of a zone or two.
 const TELL_TIME: Duration = Duration::from_millis(30);
@@ -128,7 +130,10 @@
         let changes: Vec<_> = {
             let fleet = shared.fleet();
             let changes = stage_changes(&fleet.catalog, &service.name, policy);
-            let named = changes.into_iter().filter_map(|(key, stage)| {
+            // An engine that wants no work gets its order when it is back.
+            let awake = |key| fleet.placer.rest(key, now).is_zero();
+            let changes = changes.into_iter().filter(|(key, _)| awake(*key));
+            let named = changes.filter_map(|(key, stage)| {
                 let target = fleet.catalog.get(key)?;
                 Some((target.id.clone(), target.born_ms, stage))
             });
@@ -197,13 +202,20 @@
     if shared.now() + ORDER_TIME > deadline {
         return SendResult::NotSent;
     }
-    let holder = &shared.config.vm_name;
+    let authorised = || Authorised {
+        holder: &shared.config.vm_name,
+        fence,
+        within: deadline.saturating_sub(shared.now()),
+    };
     let result = match &order {
         Order::Stage(stage) => {
             let found = shared.fleet().catalog.by_id(target).cloned();
             let Some(found) = found else {
                 return SendResult::Rejected;
             };
+            if rests(shared, target) {
+                return SendResult::NotSent;
+            }
             // All vms keep new work away before the engine begins to refuse it.
             let now = shared.now();
             shared.fleet().changes_stage(target, *stage, now);
@@ -213,9 +225,14 @@
             };
             peers::tell_all(context, &message);
             sleep(TELL_TIME).await;
-            client.order_stage(holder, fence, &found, *stage).await
+            let answer = client.order_stage(authorised(), &found, *stage).await;
+            let key = shared.fleet().catalog.key_of(target);
+            if let Some(key) = key {
+                notice::learn(context, key, &found, answer.notice);
+            }
+            answer.result
         }
-        Order::Count(order) => client.order_count(holder, fence, order).await,
+        Order::Count(order) => client.order_count(authorised(), order).await,
     };
     shared.metrics.duty("order", result == SendResult::Accepted);
     decision!(
@@ -230,6 +247,13 @@
     result
 }
 
+/// Whether a target wants nothing from this vm now.
+fn rests(shared: &Shared, target: &str) -> bool {
+    let (fleet, now) = (shared.fleet(), shared.now());
+    let key = fleet.catalog.key_of(target);
+    key.is_some_and(|key| !fleet.placer.rest(key, now).is_zero())
+}
+
 fn fence<E: Edges>(context: &Context<E>) -> Option<Fence> {
     let shared = &context.shared;
     shared.authority().fence(&Scope::Usage, shared.now())
@@ -263,11 +287,20 @@
         return;
     };
     // The lease may have been lost while the counts were collected.
-    let Some(fence) = fence(context) else {
-        return;
+    let (fence, within) = {
+        let (authority, now) = (shared.authority(), shared.now());
+        let held = authority.fence(&Scope::Usage, now);
+        let Some(held) = held.zip(authority.holds_for(&Scope::Usage, now)) else {
+            return;
+        };
+        held
+    };
+    let authorised = Authorised {
+        holder: &shared.config.vm_name,
+        fence,
+        within,
     };
-    let holder = &shared.config.vm_name;
-    let result = client.report_usage(holder, fence, window, &counts).await;
+    let result = client.report_usage(authorised, window, &counts).await;
     decision!(
         shared,
         LineKind::Duty,
--- a/crates/gateway/src/edges.rs
+++ b/crates/gateway/src/edges.rs
@@ -81,6 +81,38 @@
 /// Headers that are added to a request.
 pub type OutgoingHeaders = SmallVec<[(&'static str, String); 6]>;
 
+/// Whether a target wants no work for a time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RestWish {
+    /// It takes work.
+    #[default]
+    None,
+    /// It wants nothing from this vm for so long.
+    For(Duration),
+    /// It named a time that cannot be read.
+    Unreadable,
+}
+
+/// What a target says of itself with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// The target leaves.
+    pub is_leaving: bool,
+    /// Whether it wants no work for a time.
+    pub rest: RestWish,
+    /// The answer comes from another target than the one that was meant.
+    pub is_of_another: bool,
+}
+
+/// How an order to a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderAnswer {
+    /// How the send ended.
+    pub result: SendResult,
+    /// What the target said of itself.
+    pub notice: TargetNotice,
+}
+
 /// What the head of a target's answer says.
 #[derive(Clone, Debug, Default)]
 pub struct AnswerHead {
@@ -92,6 +124,8 @@
     pub is_signed: bool,
     /// Load of the target.
     pub load: Option<LoadReport>,
+    /// What the target says of itself.
+    pub notice: TargetNotice,
 }
 
 /// What a key of the settings prefix holds.
@@ -178,6 +212,18 @@
     Failed(String),
 }
 
+/// In whose name a call is made.
+#[derive(Clone, Copy, Debug)]
+pub struct Authorised<'a> {
+    /// Name of the vm that holds the lease.
+    pub holder: &'a str,
+    /// Fence of the lease.
+    pub fence: Fence,
+    /// Time for which the lease surely holds. The call ends within it: a connection that is only
+    /// established later would carry an order beside those of the next holder.
+    pub within: Duration,
+}
+
 /// Calls that one vm at a time makes.
 pub trait DutiesApi: Sized + 'static {
     /// Creates a client on a thread.
@@ -185,24 +231,21 @@
     /// Reports the usage of a window.
     fn report_usage(
         &self,
-        holder: &str,
-        fence: Fence,
+        authority: Authorised<'_>,
         window: u64,
         counts: &WindowCounts,
     ) -> impl Future<Output = DutyResult>;
     /// Orders a number of targets. `Rejected` means that none can be had at the moment.
     fn order_count(
         &self,
-        holder: &str,
-        fence: Fence,
+        authority: Authorised<'_>,
         order: &CountOrder,
     ) -> impl Future<Output = SendResult>;
     /// Orders an engine to change its stage.
     fn order_stage(
         &self,
-        holder: &str,
-        fence: Fence,
+        authority: Authorised<'_>,
         target: &CatalogTarget,
         stage: Stage,
-    ) -> impl Future<Output = SendResult>;
+    ) -> impl Future<Output = OrderAnswer>;
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -237,7 +237,7 @@
         let Fleet { catalog, placer } = &mut *fleet;
         placer.place_engine(catalog, &request, shared.now())
     };
-    let path = path.map_err(|refused| refused_place(refused, job))?;
+    let path = path.map_err(|refused| refused_place(shared, refused, job))?;
     let in_flight = |placed| InFlight {
         shared: shared.clone(),
         placed,
@@ -270,7 +270,7 @@
         let Fleet { catalog, placer } = &mut *fleet;
         placer.place(catalog, &request, shared.now())
     };
-    let placed = placed.map_err(|refused| refused_place(refused, job))?;
+    let placed = placed.map_err(|refused| refused_place(shared, refused, job))?;
     let is_handed_over = job.stage().is_some() && parts.is_empty();
     let work = if is_handed_over { "answer" } else { "whole" };
     tell_placed(shared, job, work, &placed);
@@ -280,13 +280,22 @@
     })
 }
 
-fn refused_place(refused: RefusedPlace, job: &Job) -> Refusal {
-    match refused {
+fn refused_place(shared: &Shared, refused: RefusedPlace, job: &Job) -> Refusal {
+    let left_out = {
+        let (fleet, now) = (shared.fleet(), shared.now());
+        fleet.placer.left_out(&fleet.catalog, &job.service, now)
+    };
+    let refusal = match refused {
         RefusedPlace::NoTarget => Refusal::not_run(Reason::NoTarget, NO_TARGET_RETRY),
+        RefusedPlace::Resting { retry_after } => Refusal::not_run(Reason::TargetsRest, retry_after),
         RefusedPlace::Overloaded { retry_after, wait } => Refusal {
             wait: Some(wait),
             longest_wait: Some(job.longest_wait),
             ..Refusal::not_run(Reason::Overloaded, retry_after)
         },
+    };
+    Refusal {
+        left_out,
+        ..refusal
     }
 }
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -33,6 +33,8 @@
     Settings,
     /// Belief about targets.
     Targets,
+    /// A target said something of itself.
+    Notice,
     /// A dependency was lost or is back.
     Dependency,
     /// A duty was done or failed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod addresses;
 mod answer;
 mod attempt;
+mod caller_server;
 mod config;
 mod connection;
 mod control;
@@ -17,6 +18,7 @@
 mod journal;
 mod message;
 mod metrics;
+mod notice;
 mod peers;
 mod prompt;
 mod server;
@@ -24,10 +26,11 @@
 mod stream;
 mod tell;
 
-pub use config::{GatewayConfig, GatewayDuty, ListenAddresses};
+pub use config::{GatewayConfig, GatewayDuty, ListenAddresses, StreamGaps};
 pub use edges::{
-    AnswerHead, DutiesApi, DutyResult, Edges, HeaderLookup, Incoming, Outgoing, OutgoingHeaders,
-    StoreApi, StoredSettings, WatchReply, Wire, Work,
+    AnswerHead, Authorised, DutiesApi, DutyResult, Edges, HeaderLookup, Incoming, OrderAnswer,
+    Outgoing, OutgoingHeaders, RestWish, StoreApi, StoredSettings, TargetNotice, WatchReply, Wire,
+    Work,
 };
 pub use journal::write_json;
 pub use server::run;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between vms.
 
-use jujubebeam_core::gateway::{MirrorDelta, RunCounts, Stage};
+use jujubebeam_core::gateway::{MirrorDelta, RunCounts, Stage, TargetRun};
 use jujubebeam_core::quarantine::QuarantineMessage;
 use jujubebeam_core::{Revision, membership};
 use serde::{Deserialize, Serialize};
@@ -40,6 +40,8 @@
         /// The stage.
         stage: Stage,
     },
+    /// Runs of targets that said that they leave. Answered with those that the sender may not know.
+    Leaving(Vec<TargetRun>),
     /// A target died under a request, or a suspect gave a whole answer.
     Quarantine(QuarantineMessage),
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     attempts_failed: IntCounterVec,
     placed: IntCounterVec,
     duties: IntCounterVec,
+    notices: IntCounterVec,
     /// Failed calls of the copies' lists and watches.
     pub(crate) store_failures: IntCounter,
     /// Version of the settings in force.
@@ -70,6 +71,11 @@
             "Calls and orders that one vm at a time gives",
             &["duty", "accepted"],
         );
+        let notices = counter(
+            "jujubebeam_target_notices_total",
+            "What targets said of themselves with their answers",
+            &["notice"],
+        );
         let latency = HistogramOpts::new(
             "jujubebeam_request_seconds",
             "Time from arrival to the end of the answer",
@@ -101,6 +107,7 @@
             attempts_failed,
             placed,
             duties,
+            notices,
             store_failures,
             settings_version,
             targets,
@@ -125,6 +132,11 @@
         self.placed.with_label_values(&[path]).inc();
     }
 
+    /// A target said something of itself.
+    pub(crate) fn notice(&self, notice: &'static str) {
+        self.notices.with_label_values(&[notice]).inc();
+    }
+
     /// A duty was performed or refused.
     pub(crate) fn duty(&self, duty: &'static str, is_accepted: bool) {
         let accepted = if is_accepted { "yes" } else { "no" };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,6 +12,7 @@
 use crate::control;
 use crate::edges::Edges;
 use crate::message::Message;
+use crate::notice;
 use crate::server::Context;
 use crate::state::wall_clock;
 
@@ -131,6 +132,7 @@
             let now = shared.now();
             shared.fleet().changes_stage(&target, stage, now);
         }
+        Message::Leaving(runs) => return notice::hear(context, runs),
         Message::Quarantine(message) => {
             let mut commands = Vec::new();
             shared
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -9,31 +9,20 @@
 use jujubebeam_core::membership::Event;
 use jujubebeam_http::{HttpClientConfig, build_client};
 use jujubebeam_peer::{MESSAGES_PATH, PeerClient, PeerClientConfig};
-use ntex::SharedCfg;
 use ntex::client::Client;
-use ntex::http::{HttpServiceConfig, KeepAlive};
-use ntex::time::{Millis, Seconds, sleep, timeout};
+use ntex::time::sleep;
 use ntex::web::types::PayloadConfig;
 use ntex::web::{self, App, HttpServer};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use crate::caller_server::CallerServer;
 use crate::config::GatewayConfig;
 use crate::connection::ConnectionPool;
 use crate::control;
 use crate::edges::{Edges, StoreApi, Wire};
 use crate::peers;
 use crate::state::Shared;
-use crate::{addresses, forward, metrics};
-
-/// Time after which an idle connection of a caller is closed. It exceeds the longest time for which
-/// callers are told that they may idle (15 s), so a request does not meet a closing connection.
-const CALLER_IDLE: Seconds = Seconds(40);
-
-/// Time in which the header of a request must arrive, after which the caller gets 408.
-const HEADER_TIMEOUT: Seconds = Seconds(4);
-
-/// Largest header of a request.
-const MAX_HEADER_BYTES: usize = 64 * 1024;
+use crate::{addresses, metrics};
 
 /// Largest body of messages between vms.
 const ENVELOPE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -48,10 +37,6 @@
 /// a timer came 0.13 s late and the process was killed with 0.5 s.
 const CLOSING_TIME: Duration = Duration::from_millis(700);
 
-/// Longest time for closing the connections of callers. Idle ones close at once, and those with a
-/// running answer do not close in any time that is left.
-const CLOSING_LIMIT: Millis = Millis(100);
-
 /// What a thread needs to act. Clones share the clients.
 pub(crate) struct Context<E: Edges> {
     pub(crate) shared: Arc<Shared>,
@@ -83,7 +68,7 @@
 }
 
 impl<E: Edges> Context<E> {
-    async fn new(shared: Arc<Shared>) -> Self {
+    pub(crate) async fn new(shared: Arc<Shared>) -> Self {
         let http = build_client(HttpClientConfig::default()).await;
         Self {
             pool: ConnectionPool::default(),
@@ -166,45 +151,24 @@
         .transpose()?
         .map(HttpServer::run);
 
-    let state = shared.clone();
-    let http = HttpServiceConfig::new()
-        .set_keepalive(KeepAlive::Timeout(CALLER_IDLE))
-        .set_client_timeout(HEADER_TIMEOUT)
-        .set_max_buf_size(MAX_HEADER_BYTES);
-    let caller_server = web::server(async move || {
-        let context = Context::<E>::new(state.clone()).await;
-        clean_connections(&context);
-        App::new()
-            .state(context)
-            .service(web::resource("/{path}*").to(forward::handle::<E>))
-    })
-    .config(SharedCfg::new("callers").add(http))
-    .workers(shared.config.workers)
-    .disable_signals()
-    .bind(listen.callers)?
-    .run();
+    let caller_server = CallerServer::start::<E>(&shared)?;
 
     drain_on_signal(&context, signals).await;
-    // Idle connections of callers would hold the process until it is killed.
-    if timeout(CLOSING_LIMIT, caller_server.stop(true))
-        .await
-        .is_err()
-    {
-        log::info!(event = "closing", vm:% = shared.vm, outcome = "callers_still_connected"; "");
-    }
+    caller_server.stop().await;
     drop((control_server, metrics_server));
     log::info!(event = "stop", vm:% = shared.vm; "");
     Ok(())
 }
 
-fn clean_connections<E: Edges>(context: &Context<E>) {
+/// Drops connections to targets that idled too long, from time to time.
+pub(crate) fn clean_connections<E: Edges>(context: &Context<E>) {
     let context = context.clone();
     ntex::rt::spawn(async move {
         loop {
             sleep(CLEAN_INTERVAL).await;
             let existing: std::collections::HashSet<_> = {
                 let fleet = context.shared.fleet();
-                fleet.catalog.iter().map(|(key, _)| key).collect()
+                fleet.catalog.usable().map(|(key, _)| key).collect()
             };
             context.pool.clean(|key| existing.contains(&key));
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,16 +9,16 @@
 use http::{Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use jujubebeam_core::gateway::{AttemptEnd, RequestProgress, TargetKey};
+use jujubebeam_core::gateway::{AttemptEnd, RequestProgress, TargetKey, longest_pause};
 use ntex::util::Bytes as NtexBytes;
 use ntex::web::HttpResponse;
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::attempt::{self, InFlight};
 use crate::connection::TargetConnection;
 use crate::edges::{Edges, Work};
-use crate::events::EventSplitter;
+use crate::events::{EventSplitter, EventTooLong, WholeEvents};
 use crate::forward;
 use crate::job::Job;
 use crate::journal::{LineKind, decision, millis};
@@ -65,7 +65,7 @@
         splitter: EventSplitter::default(),
     };
     match source.next().await {
-        Piece::Events(first) => {
+        Piece::Events(first) | Piece::Comment(first) => {
             job.began(&context.shared);
             Ok(EventStream {
                 parts,
@@ -73,6 +73,7 @@
                 source,
             })
         }
+        Piece::Stalled => Err("no event came".into()),
         Piece::End => Err("stream ended without an event".into()),
         Piece::Broken(reason) => {
             source.failed(context, job);
@@ -82,11 +83,20 @@
 }
 
 enum Piece {
+    /// Whole events.
     Events(Bytes),
+    /// Text that keeps the connection alive and says nothing.
+    Comment(Bytes),
     End,
     Broken(String),
+    /// No event has come for the longest pause of the route.
+    Stalled,
 }
 
+/// Time for events that wait in a socket to be read. After a vm was stopped for a while its timers
+/// end before its sockets are read.
+const READ_WAITING_EVENTS: Duration = Duration::from_millis(100);
+
 impl Source {
     async fn next(&mut self) -> Piece {
         loop {
@@ -95,8 +105,17 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    if let Some(events) = self.splitter.push(&data) {
-                        return Piece::Events(events);
+                    match self.splitter.push(&data) {
+                        Ok(Some(WholeEvents { bytes, has_content })) => {
+                            return match has_content {
+                                true => Piece::Events(bytes),
+                                false => Piece::Comment(bytes),
+                            };
+                        }
+                        Ok(None) => {}
+                        Err(EventTooLong) => {
+                            return Piece::Broken("an event does not end".into());
+                        }
                     }
                 }
                 Some(Err(error)) => return Piece::Broken(error.to_string()),
@@ -106,12 +125,27 @@
         }
     }
 
+    /// The next piece, or a stall if none comes before `until`.
+    async fn next_until(&mut self, until: Instant) -> Piece {
+        if let Ok(piece) = timeout_at(until, self.next()).await {
+            return piece;
+        }
+        let piece = timeout(READ_WAITING_EVENTS, self.next()).await;
+        piece.unwrap_or(Piece::Stalled)
+    }
+
+    /// The stream broke off.
     fn failed<E: Edges>(&self, context: &Context<E>, job: &Job) {
+        self.gave_nothing(context);
+        attempt::crashed(context, job, &self.in_flight.placed);
+    }
+
+    /// The stream broke off or stalled. A target that stalls has not crashed.
+    fn gave_nothing<E: Edges>(&self, context: &Context<E>) {
         let placed = &self.in_flight.placed;
         let shared = &context.shared;
         shared.fleet().placer.failed(placed, shared.now());
         context.pool.close_idle(placed.key);
-        attempt::crashed(context, job, placed);
     }
 }
 
@@ -128,6 +162,11 @@
     /// When the last events came, and the longest time between two.
     last_at: Instant,
     longest_pause: Duration,
+    /// Time without an event after which the stream counts as stalled, and when it does.
+    pause_limit: Duration,
+    stalled_at: Instant,
+    /// When something was last passed on to the caller.
+    passed_at: Instant,
     is_done: bool,
     /// A shutdown waits for the stream.
     _running: Running,
@@ -157,6 +196,8 @@
     let mut builder = attempt::head(&events.parts);
     let route = job.route();
     let progress = RequestProgress::new(job.repeatability(), route.max_attempts);
+    let limits = context.shared.config.pause_limits();
+    let pause_limit = longest_pause(route, job.repeatability(), limits);
     let pump = Pump {
         context: context.clone(),
         first: Some(events.first),
@@ -166,6 +207,9 @@
         excluded: SmallVec::new(),
         last_at: Instant::now(),
         longest_pause: Duration::ZERO,
+        pause_limit,
+        stalled_at: Instant::now() + pause_limit,
+        passed_at: Instant::now(),
         is_done: false,
         _running: context.shared_running(),
         job,
@@ -181,6 +225,8 @@
         if self.is_done {
             return None;
         }
+        // The time in which the caller did not read is none of the target's.
+        self.stalled_at += self.passed_at.elapsed();
         if let Some(first) = self.first.take() {
             return Some(Ok(NtexBytes::copy_from_slice(&first)));
         }
@@ -189,23 +235,37 @@
             let Some(source) = &mut self.source else {
                 return self.cut("no target continues the stream").await;
             };
-            match timeout_at(limit, source.next()).await {
+            match timeout_at(limit, source.next_until(self.stalled_at)).await {
                 Err(_) => return self.cut("the request's time is over").await,
                 Ok(Piece::Events(events)) => {
                     self.last_id = source.splitter.last_id().or(self.last_id);
                     self.longest_pause = self.longest_pause.max(self.last_at.elapsed());
                     self.last_at = Instant::now();
+                    self.stalled_at = self.last_at + self.pause_limit;
+                    self.passed_at = self.last_at;
                     return Some(Ok(NtexBytes::copy_from_slice(&events)));
                 }
+                Ok(Piece::Comment(text)) if Instant::now() < self.stalled_at => {
+                    self.passed_at = Instant::now();
+                    return Some(Ok(NtexBytes::copy_from_slice(&text)));
+                }
                 Ok(Piece::End) => {
                     self.finished();
                     return None;
                 }
                 Ok(Piece::Broken(reason)) => {
+                    source.failed(&self.context, &self.job);
                     if let Err(reason) = self.resume(&reason).await {
                         return self.cut(&reason).await;
                     }
                 }
+                Ok(Piece::Comment(_) | Piece::Stalled) => {
+                    source.gave_nothing(&self.context);
+                    let reason = format!("no event for {} ms", self.pause_limit.as_millis());
+                    if let Err(cause) = self.resume(&reason).await {
+                        return self.cut(&format!("{reason}; {cause}")).await;
+                    }
+                }
             }
         }
     }
@@ -229,7 +289,6 @@
         let shared = self.context.shared.clone();
         let key = source.in_flight.placed.key;
         let target = source.in_flight.placed.target.id.clone();
-        source.failed(&self.context, &self.job);
         let end = AttemptEnd::BrokenMidway;
         tell_attempt(&shared, &self.job, &target, end, reason);
         // What came of an event that is not whole was not passed on.
@@ -261,6 +320,7 @@
             match sent.await {
                 Err(_) => return Err("the request's time is over".into()),
                 Ok(Ok((response, connection))) if is_events(&response) => {
+                    self.stalled_at = Instant::now() + self.pause_limit;
                     self.source = Some(Source {
                         body: response.into_body(),
                         connection,
--- a/crates/gateway/src/tell.rs
+++ b/crates/gateway/src/tell.rs
@@ -50,6 +50,8 @@
         retry_after_ms = refusal.retry_after.map(millis),
         wait_ms = refusal.wait.map(millis),
         longest_wait_ms = refusal.longest_wait.map(millis),
+        targets_leaving = refusal.left_out.leaving,
+        targets_resting = refusal.left_out.resting,
         after_ms = millis(age)
     );
 }
@@ -84,11 +86,14 @@
         uncached_tokens = placed.uncached_tokens,
         home_rank = placed.home_rank,
         wait_ms = placed.wait_ms.round() as u64,
+        deadline_ms = job.incoming.deadline.map(millis),
         longest_wait_ms = millis(job.longest_wait),
         expected_in_flight = placed.expected_in_flight.round() as u64,
         reported_running = placed.report.map(|(report, _)| report.running),
         reported_waiting = placed.report.map(|(report, _)| report.waiting),
         report_age_ms = placed.report.map(|(_, age)| millis(age)),
+        targets_leaving = placed.left_out.leaving,
+        targets_resting = placed.left_out.resting,
         after_ms = millis(job.arrived.elapsed())
     );
 }
--- a/crates/jujubebeam/tests/gateway_soak/main.rs
+++ b/crates/jujubebeam/tests/gateway_soak/main.rs
@@ -6,21 +6,26 @@
 mod callers;
 mod faults;
 mod fleet;
+mod planned_stop;
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
 
 use std::ops::Range;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use callers::{Kind, Outcome};
 use fleet::{EVENTS, Fleet, GRACE};
+use planned_stop::Habit;
 use support::{Call, is_ready, wait_for};
 
 /// Seeds of a test run. Seeds that failed once are added with a line on the cause.
 const SEEDS: [u64; 2] = [1, 2];
 const DURATION: Duration = Duration::from_secs(4);
 const CALLERS: usize = 8;
+/// Callers of the vm that is told to stop.
+const STOP_CALLERS: usize = 12;
 
 /// A caller waits for 4 s; a vm may be paused for up to 1.2 s and a reply may be under way.
 const LONGEST_ANSWER: Duration = Duration::from_millis(6500);
@@ -59,6 +64,39 @@
     assert!(took < GRACE - Duration::from_millis(300), "{took:?}");
 }
 
+/// Guards against requests that a vm has accepted and cuts when it is told to stop under load: on kept
+/// connections, on new ones that wait to be accepted, and with a body that is half read.
+#[test]
+fn a_planned_stop_cuts_no_request() {
+    let fleet = Fleet::start();
+    let (told, told_at) = (AtomicBool::new(false), Mutex::new(None));
+    let (seen, ended) = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..STOP_CALLERS)
+            .map(|number| {
+                let habit = [Habit::Keeps, Habit::Opens, Habit::Pauses][number % 3];
+                let (fleet, told, told_at) = (&fleet, &told, &told_at);
+                scope.spawn(move || planned_stop::call(fleet, number, habit, told, told_at))
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(300));
+        *told_at.lock().expect("no test panicked") = Some(Instant::now());
+        told.store(true, Ordering::SeqCst);
+        let ended = fleet.vms[0].lock().expect("no test panicked").terminate();
+        let seen = callers
+            .into_iter()
+            .map(|c| c.join().expect("a caller ends"));
+        (seen.collect::<Vec<_>>(), ended)
+    });
+    assert_eq!(ended, Ok(()));
+    let answered: usize = seen.iter().map(|seen| seen.answered).sum();
+    assert!(answered > 100, "{answered} answered");
+    let all = seen.iter().flat_map(|seen| &seen.cut);
+    let (in_queue, cut): (Vec<_>, Vec<_>) = all.partition(|cut| cut.was_in_queue());
+    assert!(cut.is_empty(), "{} of {answered} cut: {cut:?}", cut.len());
+    // Each caller meets the closing listener once, and goes elsewhere.
+    assert!(in_queue.len() <= STOP_CALLERS, "{in_queue:?}");
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("JUJUBEBEAM_SOAK_SEEDS") else {
         return SEEDS.to_vec();
