Replace most regular engines by reclaimable ones, and order stages as engines come

Reclaimable engines cost 0.15 to 0.22 of regular ones and only three a zone were ordered, beside all regular ones. Engines that came while others changed their stage waited 8 s for their own order, so six engines left service at the start of traffic.

Change: a zone has a fifth of its limit as regular engines and the rest as reclaimable ones; regular engines are given back once those run, and stand in up to half of the limit if they cannot be had.

Standing in up to the whole limit left no room in which reclaimable engines could be ordered again (the test failed on it).

--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -183,8 +183,14 @@
 
     /// Targets that take new work, in the order of their ids.
     pub fn usable(&self) -> impl Iterator<Item = (TargetKey, &CatalogTarget)> {
-        self.iter()
-            .filter(|(key, target)| target.phase == TargetPhase::Ready && !self.said_leaving(*key))
+        self.iter().filter(|(key, _)| self.is_usable(*key))
+    }
+
+    /// Whether a target takes new work.
+    pub fn is_usable(&self, key: TargetKey) -> bool {
+        let target = self.targets.get(&key);
+        let is_ready = target.is_some_and(|target| target.phase == TargetPhase::Ready);
+        is_ready && !self.said_leaving(key)
     }
 
     /// A target said that it leaves. Returns whether that is new.
--- a/crates/core/src/gateway/roles.rs
+++ b/crates/core/src/gateway/roles.rs
@@ -29,11 +29,13 @@
     }
 }
 
-/// Stage changes that bring a service to its distribution.
+/// Stage changes that bring a service to its distribution. Engines that were ordered to change count
+/// with the stage that they will have, and are not ordered again.
 pub fn stage_changes(
     catalog: &Catalog,
     service: &str,
     policy: RolePolicy,
+    under_way: &[(TargetKey, Stage)],
 ) -> SmallVec<[(TargetKey, Stage); 4]> {
     let engines: Vec<_> = catalog
         .usable()
@@ -46,7 +48,14 @@
     }
     let wanted = (count as f64 * policy.prefill_part).round() as usize;
     let wanted = wanted.clamp(1, count - policy.min_decode.max(1));
-    let present = of_stage(&engines, Stage::Prefill).len();
+    let ordered_to = |key| {
+        let order = under_way.iter().find(|(ordered, _)| *ordered == key);
+        order.map(|(_, stage)| *stage)
+    };
+    let present = engines
+        .iter()
+        .filter(|(key, t)| ordered_to(*key).or(t.stage) == Some(Stage::Prefill))
+        .count();
     if wanted.abs_diff(present) <= policy.tolerance && present > 0 {
         return SmallVec::new();
     }
@@ -55,6 +64,7 @@
         false => (Stage::Prefill, Stage::Decode, present - wanted),
     };
     let mut candidates = of_stage(&engines, from);
+    candidates.retain(|(key, _)| ordered_to(*key).is_none());
     let mut chosen = SmallVec::new();
     for _ in 0..changes {
         // Reclaimable engines compute prompts, since a long answer would be lost with them. Among
--- a/crates/core/src/gateway/scale.rs
+++ b/crates/core/src/gateway/scale.rs
@@ -1,8 +1,11 @@
-//! How many reclaimable engines a service should have in each zone.
+//! How many engines of each kind a service should have in each zone.
 //!
-//! Reclaimable engines cost a fraction of others and may vanish a whole zone at once. They are added
-//! to the engines that exist and compute prompts, which takes milliseconds, so that a reclaim costs
-//! capacity and no answer.
+//! Reclaimable engines cost a fraction of regular ones and may vanish a whole zone at once. Most
+//! engines are reclaimable, up to the limit of the zone: for the price of a few regular engines there
+//! are many, so that a reclaim of one zone leaves more than regular engines alone would. The regular
+//! ones that stay keep each zone in service and take the long answers. They are given back only once
+//! the reclaimable ones run, and ordered again when those cannot be had. The figures are in
+//! `docs/platform.md`.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::catalog::Catalog;
-use super::settings::Service;
+use super::settings::{ScalingLimits, Service};
 
 /// An order for a number of engines.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -26,10 +29,13 @@
 }
 
 /// Options of ordering.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ScalePolicy {
-    /// Reclaimable engines in each zone.
-    pub reclaimable_per_zone: u32,
+    /// Part of a zone's limit that are regular engines. All others are reclaimable.
+    pub regular_part: f64,
+    /// Part of a zone's limit up to which regular engines stand in for reclaimable ones that cannot be
+    /// had. The rest of the limit is left for those, or they could never be ordered again.
+    pub stand_in_part: f64,
     /// Time beyond the start of an engine after which a missing one is ordered again.
     pub slack: Duration,
 }
@@ -37,17 +43,38 @@
 impl Default for ScalePolicy {
     fn default() -> Self {
         Self {
-            reclaimable_per_zone: 3,
+            regular_part: 0.2,
+            stand_in_part: 0.5,
             slack: Duration::from_secs(1),
         }
     }
 }
 
+/// An order that was given.
+#[derive(Clone, Copy, Debug)]
+struct Given {
+    count: u32,
+    at: Duration,
+}
+
+/// Engines of a service in a zone.
+#[derive(Clone, Copy, Debug, Default)]
+struct Present {
+    /// Regular engines that exist, leaving ones included.
+    regular: u32,
+    /// Regular engines that take work.
+    regular_usable: u32,
+    /// Reclaimable engines that take work.
+    reclaimable: u32,
+}
+
 /// Remembers what was ordered.
 #[derive(Debug, Default)]
 pub struct Scaler {
-    /// Last order for each service and zone, with its time.
-    ordered: BTreeMap<(String, String), (u32, Duration)>,
+    /// Last order for each service, zone and kind.
+    given: BTreeMap<(String, String, bool), Given>,
+    /// Since when a zone has lacked reclaimable engines.
+    lacks_since: BTreeMap<(String, String), Duration>,
 }
 
 impl Scaler {
@@ -63,40 +90,122 @@
         if !limits.has_reclaimable {
             return None;
         }
-        limits.zones.iter().find_map(|zone| {
-            let of_zone = || {
-                catalog
-                    .iter()
-                    .map(|(_, t)| t)
-                    .filter(|t| t.service == service.name && t.zone == *zone)
-            };
-            // A service that has no engine in a zone does not run there.
-            let regular = of_zone().filter(|t| !t.is_reclaimable).count() as u32;
-            if regular == 0 {
-                return None;
-            }
-            let room = limits.max_per_zone.saturating_sub(regular);
-            let count = policy.reclaimable_per_zone.min(room);
-            let present = catalog
-                .usable()
-                .filter(|(_, t)| t.service == service.name && t.zone == *zone && t.is_reclaimable)
-                .count() as u32;
-            let key = (service.name.clone(), zone.clone());
-            let last = self.ordered.get(&key);
-            let again = limits.start_time + policy.slack;
-            let is_due = last.is_none_or(|(ordered, at)| {
-                *ordered != count || (present < count && now >= *at + again)
-            });
-            if present >= count || !is_due {
-                return None;
-            }
-            self.ordered.insert(key, (count, now));
-            Some(CountOrder {
-                service: service.name.clone(),
-                zone: zone.clone(),
-                is_reclaimable: true,
-                count,
-            })
-        })
+        limits
+            .zones
+            .iter()
+            .find_map(|zone| self.order_for(catalog, service, limits, zone, policy, now))
+    }
+
+    fn order_for(
+        &mut self,
+        catalog: &Catalog,
+        service: &Service,
+        limits: &ScalingLimits,
+        zone: &str,
+        policy: ScalePolicy,
+        now: Duration,
+    ) -> Option<CountOrder> {
+        let present = present(catalog, &service.name, zone);
+        let place = (service.name.clone(), zone.to_owned());
+        let regular = regular_wanted(limits, policy);
+        let is_known = self
+            .given
+            .contains_key(&(place.0.clone(), place.1.clone(), true));
+        // A service that has no engine in a zone does not run there.
+        if present.regular == 0 && !is_known {
+            return None;
+        }
+        let again = limits.start_time + policy.slack;
+        let room = limits.max_per_zone.saturating_sub(present.regular);
+        let reclaimable = limits.max_per_zone.saturating_sub(regular).min(room);
+        let lacking = reclaimable.saturating_sub(present.reclaimable);
+        if lacking == 0 {
+            self.lacks_since.remove(&place);
+        } else {
+            self.lacks_since.entry(place.clone()).or_insert(now);
+        }
+        let wanted = |is_reclaimable, count| CountOrder {
+            service: service.name.clone(),
+            zone: zone.to_owned(),
+            is_reclaimable,
+            count,
+        };
+        if lacking > 0 && self.is_due(&wanted(true, reclaimable), true, again, now) {
+            return Some(wanted(true, reclaimable));
+        }
+        // Plain services run requests that may not be repeated, so theirs are not replaced.
+        service.engine?;
+        let lacks_since = self.lacks_since.get(&place).copied();
+        let cannot_be_had = lacks_since.is_some_and(|since| now >= since + again * 2);
+        let count = match (lacking, cannot_be_had) {
+            (0, _) => regular,
+            (_, true) => regular.max(stand_in(limits, policy)),
+            // The reclaimable engines are on their way.
+            (_, false) => return None,
+        };
+        let order = wanted(false, count);
+        // What exists already needs no order.
+        if present.regular_usable == count && !self.given.contains_key(&key_of(&order)) {
+            return None;
+        }
+        let is_short = present.regular_usable < count;
+        self.is_due(&order, is_short, again, now).then_some(order)
+    }
+
+    /// Whether an order is to be given now, which is remembered. One that was given is repeated after
+    /// `again` if engines are missing.
+    fn is_due(
+        &mut self,
+        order: &CountOrder,
+        is_short: bool,
+        again: Duration,
+        now: Duration,
+    ) -> bool {
+        let key = key_of(order);
+        let is_due = self.given.get(&key).is_none_or(|given| {
+            given.count != order.count || (is_short && now >= given.at + again)
+        });
+        if is_due {
+            let count = order.count;
+            self.given.insert(key, Given { count, at: now });
+        }
+        is_due
+    }
+}
+
+fn key_of(order: &CountOrder) -> (String, String, bool) {
+    let CountOrder {
+        service,
+        zone,
+        is_reclaimable,
+        ..
+    } = order;
+    (service.clone(), zone.clone(), *is_reclaimable)
+}
+
+/// Regular engines in a zone while reclaimable ones can be had.
+fn regular_wanted(limits: &ScalingLimits, policy: ScalePolicy) -> u32 {
+    let part = (f64::from(limits.max_per_zone) * policy.regular_part).ceil() as u32;
+    part.max(limits.min_per_zone)
+        .max(1)
+        .min(limits.max_per_zone)
+}
+
+/// Regular engines in a zone while reclaimable ones cannot be had.
+fn stand_in(limits: &ScalingLimits, policy: ScalePolicy) -> u32 {
+    (f64::from(limits.max_per_zone) * policy.stand_in_part).floor() as u32
+}
+
+fn present(catalog: &Catalog, service: &str, zone: &str) -> Present {
+    let mut present = Present::default();
+    for (key, target) in catalog.iter() {
+        if target.service != service || target.zone != zone {
+            continue;
+        }
+        let is_usable = catalog.is_usable(key);
+        present.regular += u32::from(!target.is_reclaimable);
+        present.regular_usable += u32::from(!target.is_reclaimable && is_usable);
+        present.reclaimable += u32::from(target.is_reclaimable && is_usable);
     }
+    present
 }
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -75,6 +75,8 @@
 /// Limits within which targets can be ordered.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ScalingLimits {
+    /// Fewest targets in a zone.
+    pub min_per_zone: u32,
     /// Most targets in a zone, of all kinds together.
     pub max_per_zone: u32,
     /// Time until an ordered target serves.
--- a/crates/core/tests/gateway_decisions.rs
+++ b/crates/core/tests/gateway_decisions.rs
@@ -426,11 +426,16 @@
         catalog(targets.collect())
     };
     let policy = RolePolicy::default();
-    let changes = stage_changes(&engines(2), "s", policy);
+    let changes = stage_changes(&engines(2), "s", policy, &[]);
     assert_eq!(changes.len(), 3);
     assert!(changes.iter().all(|(_, stage)| *stage == Stage::Prefill));
-    assert!(stage_changes(&engines(4), "s", policy).is_empty());
-    assert!(stage_changes(&engines(5), "s", policy).is_empty());
+    // Engines that came while others were changing are ordered at once, and none is ordered twice.
+    let under_way: Vec<_> = changes.iter().copied().take(2).collect();
+    let more = stage_changes(&engines(2), "s", policy, &under_way);
+    assert!(more.iter().all(|change| !under_way.contains(change)));
+    assert!(more.len() <= 1, "{more:?}");
+    assert!(stage_changes(&engines(4), "s", policy, &[]).is_empty());
+    assert!(stage_changes(&engines(5), "s", policy, &[]).is_empty());
 }
 
 /// Guards against reclaimable engines beyond the limit of a zone, and against an order that is
@@ -440,6 +445,7 @@
     let service = Service {
         name: "s".into(),
         scaling: Some(ScalingLimits {
+            min_per_zone: 1,
             max_per_zone: 4,
             start_time: SECOND * 4,
             has_reclaimable: true,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -50,9 +50,9 @@
     /// Part of the engines of a service that compute prompts.
     #[serde(default = "default_prefill_part")]
     pub prefill_part: f64,
-    /// Reclaimable engines that are ordered in each zone.
-    #[serde(default = "default_reclaimable_per_zone")]
-    pub reclaimable_per_zone: u32,
+    /// Part of the engines that a zone may have which are regular; all others may be reclaimed.
+    #[serde(default = "default_regular_part")]
+    pub regular_part: f64,
     /// Gaps of a stream after which its caller has left; a stalled stream ends then, or goes on at
     /// another target before.
     #[serde(default)]
@@ -134,6 +134,9 @@
         if config.usage_window_ms == 0 || config.repeat_window_ms == 0 {
             return Err("usage_window_ms, repeat_window_ms: use a length above 0".into());
         }
+        if !(0.0..=1.0).contains(&config.regular_part) {
+            return Err("regular_part: use a part from 0 to 1".into());
+        }
         if !(0.0..=1.0).contains(&config.prefill_part) {
             return Err("prefill_part: use a part from 0 to 1".into());
         }
@@ -187,10 +190,9 @@
     0.55
 }
 
-/// As many as usual engines in the deployments of today; a zone then keeps half when all are
-/// reclaimed.
-fn default_reclaimable_per_zone() -> u32 {
-    3
+/// Enough to keep a zone in service while its other engines are reclaimed.
+fn default_regular_part() -> f64 {
+    0.2
 }
 
 fn default_log_level() -> String {
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -106,14 +106,14 @@
 fn order_stages<E: Edges>(
     context: &Context<E>,
     client: &Rc<E::Duties>,
-    ordered: &mut BTreeMap<String, Duration>,
+    ordered: &mut BTreeMap<String, (Stage, Duration)>,
 ) {
     let shared = &context.shared;
     let Some(settings) = shared.settings() else {
         return;
     };
     let now = shared.now();
-    ordered.retain(|_, at| now < *at + ORDER_AGAIN);
+    ordered.retain(|_, (_, at)| now < *at + ORDER_AGAIN);
     for service in settings.services.values().filter(|s| s.engine.is_some()) {
         let scope = Scope::Engines {
             group: service.name.clone(),
@@ -129,7 +129,11 @@
         };
         let changes: Vec<_> = {
             let fleet = shared.fleet();
-            let changes = stage_changes(&fleet.catalog, &service.name, policy);
+            let under_way = ordered
+                .iter()
+                .filter_map(|(target, (stage, _))| Some((fleet.catalog.key_of(target)?, *stage)));
+            let under_way: Vec<_> = under_way.collect();
+            let changes = stage_changes(&fleet.catalog, &service.name, policy, &under_way);
             // An engine that wants no work gets its order when it is back.
             let awake = |key| fleet.placer.rest(key, now).is_zero();
             let changes = changes.into_iter().filter(|(key, _)| awake(*key));
@@ -139,14 +143,13 @@
             });
             named.collect()
         };
-        // Engines under way still count with their old stage, and while engines come and go the
-        // distribution cannot be judged.
+        // While engines come and go the distribution cannot be judged.
         let is_settled = now >= shared.fleet().catalog.changed_at() + SETTLE_STAGES;
-        if !ordered.is_empty() || !is_settled {
+        if !is_settled {
             continue;
         }
         for (target, born_ms, stage) in changes {
-            ordered.insert(target.clone(), now);
+            ordered.insert(target.clone(), (stage, now));
             let event = Event::Request {
                 scope: scope.clone(),
                 target,
@@ -169,7 +172,7 @@
         return;
     }
     let policy = ScalePolicy {
-        reclaimable_per_zone: shared.config.reclaimable_per_zone,
+        regular_part: shared.config.regular_part,
         ..ScalePolicy::default()
     };
     let order = {
--- a/crates/jujubebeam/tests/gateway.rs
+++ b/crates/jujubebeam/tests/gateway.rs
@@ -73,6 +73,11 @@
         ),
         (format!("{sound}workers: 0\n"), "workers"),
         (format!("{sound}prefill_part: 2\n"), "prefill_part"),
+        (format!("{sound}regular_part: -1\n"), "regular_part"),
+        (
+            format!("{sound}stream_gaps:\n  resume_part: 0\n"),
+            "resume_part",
+        ),
     ] {
         let path = write("fault", &fault);
         let output = gateway(&path).arg("--check").output().unwrap();
