Wait for the counts of silent vms, and compare copies before a started vm serves

Cause: counts of a usage window were closed 1.2 s after its end without vms that did not answer three times, also when these were frozen or cut off for some seconds, and vms that could not be reached were not asked. A vm that starts while the store refuses it served from the first copy that a peer gave, which may be behind.

Change: vms are asked again each second until 4 s before the report is due; a starting vm asks three others at once and serves when they have compared, or after 1 s.

Ruled out: keeping copies across restarts (vms keep nothing).

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -16,7 +16,9 @@
 mod roles;
 mod scale;
 mod settings;
+mod start_gate;
 mod true_time;
+mod usage_collection;
 mod usage_window;
 
 pub use admission::Admission;
@@ -37,5 +39,7 @@
     EngineLimits, GatewaySettings, GatewayTenant, HostRoute, RequestKind, ScalingLimits, Service,
     ServiceShare, TenantIndex,
 };
+pub use start_gate::StartGate;
 pub use true_time::TrueTime;
+pub use usage_collection::{CollectStep, UsageCollection};
 pub use usage_window::{RunCounts, UsageWindows, WindowCounts};
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -25,6 +25,9 @@
 /// rounds, well inside the 2 s in which settings must be in force.
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Vms that a starting vm asks at once for the newest copies.
+const COMPARED_AT_START: usize = 3;
+
 /// Newest windows of which usage counts are copied.
 const COPIED_WINDOWS: usize = 2;
 
@@ -197,6 +200,7 @@
                 };
                 mirror.replace(entries, store);
             }
+            context.shared.read_from_store(copy == Copy::Settings);
             apply(context, copy);
             Ok(true)
         }
@@ -342,15 +346,15 @@
         round = round
             .wrapping_mul(6_364_136_223_846_793_005)
             .wrapping_add(1_442_695_040_888_963_407);
+        if shared.is_comparing() {
+            // The gate decides how many answers are enough.
+            for to in others.iter().take(COMPARED_AT_START) {
+                peers::send(context, *to, vec![question(context)]);
+            }
+        }
         if !others.is_empty() {
             let to = others[(round >> 33) as usize % others.len()];
-            let mut messages = vec![{
-                let mirrors = shared.mirrors();
-                Message::Ask {
-                    settings: mirrors.settings.complete(),
-                    targets: mirrors.targets.complete(),
-                }
-            }];
+            let mut messages = vec![question(context)];
             // Also an empty list is sent: a vm that has just started asks what others have heard.
             let leaving = shared.fleet().catalog.leaving_runs();
             messages.push(Message::Leaving(leaving));
@@ -365,6 +369,15 @@
     }
 }
 
+/// Asks for what this vm lacks.
+fn question<E: Edges>(context: &Context<E>) -> Message {
+    let mirrors = context.shared.mirrors();
+    Message::Ask {
+        settings: mirrors.settings.complete(),
+        targets: mirrors.targets.complete(),
+    }
+}
+
 /// Keeps this vm in the list of vms, and reads the list.
 async fn list<E: Edges>(context: &Context<E>) {
     let mut lease = None;
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -7,7 +7,8 @@
 use futures_util::future::join_all;
 use jujubebeam_core::authority::{Command, Event, Scope, SendResult};
 use jujubebeam_core::gateway::{
-    CountOrder, RolePolicy, ScalePolicy, Scaler, Stage, WindowCounts, stage_changes,
+    CollectStep, CountOrder, RolePolicy, ScalePolicy, Scaler, Stage, UsageCollection, WindowCounts,
+    stage_changes,
 };
 use jujubebeam_core::store::{Expected, StoreOp, StoreReply};
 use jujubebeam_core::{Fence, Incarnation, Machine};
@@ -45,8 +46,9 @@
 /// Time before the report is due after which it is no longer sent.
 const DUE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Rounds in which vms that did not answer are asked again.
-const COLLECT_ROUNDS: usize = 3;
+/// Time before the report is due at which figures are closed, though a vm is silent. They are written
+/// to the store, and two calls may each have to be repeated.
+const CLOSE_MARGIN: Duration = Duration::from_secs(4);
 
 /// Name under which orders for targets are recorded; the platform is the only receiver.
 const PLATFORM: &str = "platform";
@@ -78,6 +80,7 @@
     }
     let mut scaler = Scaler::default();
     let mut reported = BTreeSet::new();
+    let mut collection = UsageCollection::default();
     let mut ordered = BTreeMap::new();
     loop {
         let vms = context.shared.membership().listed();
@@ -88,7 +91,7 @@
             order_counts(context, &client, &mut scaler);
         }
         if reports_usage {
-            report_due(context, &client, &mut reported).await;
+            report_due(context, &client, &mut reported, &mut collection).await;
         }
         sleep(INTERVAL).await;
     }
@@ -266,6 +269,7 @@
     context: &Context<E>,
     client: &E::Duties,
     reported: &mut BTreeSet<u64>,
+    collection: &mut UsageCollection,
 ) {
     let shared = &context.shared;
     if fence(context).is_none() {
@@ -278,14 +282,21 @@
         let last = usage.windows.window_at(now.saturating_sub(SETTLE));
         let length = Duration::from_millis(shared.config.usage_window_ms);
         let behind = (due.as_nanos() / length.as_nanos().max(1)) as u64 + 1;
-        (last.saturating_sub(behind)..last).find(|window| {
+        let window = (last.saturating_sub(behind)..last).find(|window| {
             let end = usage.windows.end_of(*window);
             !reported.contains(window) && now + DUE_MARGIN < end + due
+        });
+        window.map(|window| {
+            let close = usage.windows.end_of(window) + due.saturating_sub(CLOSE_MARGIN);
+            (window, close.saturating_sub(now))
         })
     };
-    let Some(window) = window else {
+    let Some((window, patience)) = window else {
         return;
     };
+    if !collect(context, collection, window, patience).await {
+        return;
+    }
     let Some(counts) = frozen(context, window).await else {
         return;
     };
@@ -338,7 +349,7 @@
     {
         return rmp_serde::from_slice(&entry.value).ok();
     }
-    let counts = collect(context, window).await;
+    let counts = context.shared.usage().windows.counts(window);
     let op = StoreOp::Cas {
         key,
         expected: Expected::Absent,
@@ -353,37 +364,53 @@
     }
 }
 
-async fn collect<E: Edges>(context: &Context<E>, window: u64) -> WindowCounts {
+/// Asks the other vms for their counts of a window. Returns whether the figures can be closed.
+async fn collect<E: Edges>(
+    context: &Context<E>,
+    collection: &mut UsageCollection,
+    window: u64,
+    patience: Duration,
+) -> bool {
     let shared = &context.shared;
-    let mut missing = peers::others(context);
-    for _ in 0..COLLECT_ROUNDS {
-        let questions = missing.iter().map(|vm| async move {
-            let question = vec![Message::Collect { window }];
-            (*vm, peers::exchange(context, *vm, question).await)
-        });
-        let answers = join_all(questions).await;
-        for (vm, answer) in answers {
-            for message in answer.into_iter().flatten() {
-                if let Message::Counts(copies) = message {
-                    peers::merge_counts(context, copies);
-                    missing.retain(|other| *other != vm);
-                }
+    let mut vms = peers::others(context);
+    // A vm that cannot be reached for a while still has its counts.
+    vms.extend(shared.membership().listed());
+    vms.retain(|vm| *vm != shared.vm);
+    vms.sort_unstable();
+    vms.dedup();
+    let asked = match collection.next(window, &vms, patience, shared.now()) {
+        CollectStep::Ask(vms) => vms,
+        CollectStep::Wait => return false,
+        CollectStep::Close { missing } => {
+            if missing > 0 {
+                decision!(
+                    shared,
+                    LineKind::Duty,
+                    duty = "usage",
+                    window,
+                    vms_without_answer = missing
+                );
             }
+            return true;
         }
-        if missing.is_empty() {
-            break;
+    };
+    let questions = asked.iter().map(|vm| async move {
+        let question = vec![Message::Collect { window }];
+        (*vm, peers::exchange(context, *vm, question).await)
+    });
+    for (vm, answer) in join_all(questions).await {
+        for message in answer.into_iter().flatten() {
+            if let Message::Counts(copies) = message {
+                peers::merge_counts(context, copies);
+                collection.told(window, vm);
+            }
         }
     }
-    if !missing.is_empty() {
-        decision!(
-            shared,
-            LineKind::Duty,
-            duty = "usage",
-            window,
-            vms_without_answer = missing.len()
-        );
-    }
-    shared.usage().windows.counts(window)
+    // Nothing more has to be asked if all answered.
+    matches!(
+        collection.next(window, &vms, patience, shared.now()),
+        CollectStep::Close { missing: 0 }
+    )
 }
 
 /// Feeds the lease machine and performs its commands.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -85,7 +85,7 @@
     let shared = &context.shared;
     let incoming = E::Wire::incoming(&CallerHeaders(request.headers()));
     let denied = |refusal| (incoming.attempt_id.clone(), refusal);
-    let Some(settings) = shared.settings().filter(|_| shared.knows_targets()) else {
+    let Some(settings) = shared.settings().filter(|_| shared.has_started()) else {
         return Err(denied(Refusal::starting()));
     };
     if shared
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -123,6 +123,7 @@
             let now = shared.now();
             shared.usage().true_time.peer_clock(from, wall, now);
             control::merge(context, settings, targets);
+            shared.compared_with(from);
         }
         Message::Collect { window } => {
             return Some(Message::Counts(shared.usage().windows.runs(window)));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,7 @@
 use jujubebeam_core::authority::{Authority, AuthorityConfig, Holder};
 use jujubebeam_core::gateway::{
     Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, GatewaySettings, Mirror,
-    PlacementConfig, Placer, Stage, TrueTime, UsageWindows,
+    PlacementConfig, Placer, Stage, StartGate, TrueTime, UsageWindows,
 };
 use jujubebeam_core::membership::{Membership, MembershipConfig, Record};
 use jujubebeam_core::quarantine::{Quarantine, QuarantineConfig};
@@ -67,12 +67,15 @@
     membership: Mutex<Membership>,
     authority: Mutex<Authority<Order>>,
     quarantine: Mutex<Quarantine>,
+    start_gate: Mutex<StartGate>,
     /// Monotonic time in milliseconds at which this vm began to leave, or 0.
     leaving_since_ms: AtomicU64,
     /// Until when a missing target counts as not yet back, in monotonic milliseconds.
     reappear_until_ms: AtomicU64,
     /// Whether this vm's targets copy has ever been complete.
     has_targets: AtomicBool,
+    /// Whether this vm has ever been able to serve.
+    has_started: AtomicBool,
     /// Requests that run.
     pub(crate) running: AtomicUsize,
     /// Signalled when the process may end.
@@ -149,9 +152,11 @@
                 refuse_at: 3,
                 ..QuarantineConfig::default()
             })),
+            start_gate: Mutex::default(),
             leaving_since_ms: AtomicU64::new(0),
             reappear_until_ms: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
+            has_started: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             drained: Notify::new(),
             config,
@@ -237,14 +242,42 @@
         self.leaving_since_ms.store(now_ms, Ordering::Relaxed);
     }
 
-    /// Whether this vm can serve: settings and targets are known and it does not leave.
+    /// Whether this vm can serve and does not leave.
     pub(crate) fn is_ready(&self) -> bool {
-        self.leaving_for().is_none() && self.settings().is_some() && self.knows_targets()
+        self.leaving_for().is_none() && self.has_started()
     }
 
-    /// Whether a whole list of targets has arrived.
-    pub(crate) fn knows_targets(&self) -> bool {
-        self.has_targets.load(Ordering::Relaxed)
+    /// Whether settings and targets are known, and as new as a starting vm can tell.
+    pub(crate) fn has_started(&self) -> bool {
+        if self.has_started.load(Ordering::Relaxed) {
+            return true;
+        }
+        let has_copies = self.settings().is_some() && self.has_targets.load(Ordering::Relaxed);
+        let (others, now) = (self.vms().saturating_sub(1), self.now());
+        let is_open = lock(&self.start_gate).is_open(others, has_copies, now);
+        self.has_started.store(is_open, Ordering::Relaxed);
+        is_open
+    }
+
+    /// Whether this vm still compares its copies with those of others.
+    pub(crate) fn is_comparing(&self) -> bool {
+        !self.has_started() && lock(&self.start_gate).is_waiting()
+    }
+
+    /// Another vm passed on what it knew better.
+    pub(crate) fn compared_with(&self, vm: VmId) {
+        if !self.has_started.load(Ordering::Relaxed) {
+            lock(&self.start_gate).compared_with(vm);
+        }
+    }
+
+    /// A copy was read from the store itself.
+    pub(crate) fn read_from_store(&self, is_settings: bool) {
+        let mut gate = lock(&self.start_gate);
+        match is_settings {
+            true => gate.read_settings(),
+            false => gate.read_targets(),
+        }
     }
 
     pub(crate) fn set_has_targets(&self) {
