Let no vm hang that is asked for addresses while it starts

Change: readiness is asked before the lock is taken. Ruled out: slow starts (all 95 vms had started within 0.5 s, as before). Before/after: a_vm_that_is_asked_while_it_starts_serves_later failed, and passes. Conclusion: a lock that is not reentrant needs short scopes; no other place holds two.

--- a/crates/gateway/src/addresses.rs
+++ b/crates/gateway/src/addresses.rs
@@ -21,6 +21,8 @@
     let shared = &context.shared;
     let zone = query_value(request.query_string(), "zone").unwrap_or(&shared.config.zone);
     let now = shared.now();
+    // Looks at the members too, whose lock is taken below.
+    let is_ready = shared.is_ready();
     let membership = shared.membership();
     let usable = membership.addresses(zone, 0, now);
     let own_zone = usable.iter().filter(|r| r.zone == zone).count();
@@ -33,7 +35,7 @@
         .into_iter()
         // A vm that is known from the settings alone has not told where callers reach it.
         .filter(|record| !record.caller_address.is_empty())
-        .filter(|record| record.vm != shared.vm || shared.is_ready())
+        .filter(|record| record.vm != shared.vm || is_ready)
         .map(|record| record.caller_address.clone())
         .take(wanted.clamp(1, MAX_ADDRESSES))
         .collect();
