Let 0.62 of the engines compute prompts

Ruled out: a part for each site, which would be a figure of one deployment. The part should follow the work of both stages; that is open.

--- a/crates/core/src/gateway/roles.rs
+++ b/crates/core/src/gateway/roles.rs
@@ -22,7 +22,7 @@
 impl Default for RolePolicy {
     fn default() -> Self {
         Self {
-            prefill_part: 0.55,
+            prefill_part: 0.62,
             min_decode: 2,
             tolerance: 1,
         }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -184,10 +184,10 @@
     2000
 }
 
-/// Five of nine engines: a prompt of 2,900 new tokens takes a prefill engine 8 ms, and four engines
-/// generate the long answers of a burst.
+/// Prompts are most of the work on all deployments; with more, the long answers of a burst wait for a
+/// slot. The figures are in `docs/platform.md`.
 fn default_prefill_part() -> f64 {
-    0.55
+    0.62
 }
 
 /// Enough to keep a zone in service while its other engines are reclaimed.
