--- a/crates/core/tests/gateway_decisions.rs
+++ b/crates/core/tests/gateway_decisions.rs
@@ -425,7 +425,10 @@
         });
         catalog(targets.collect())
     };
-    let policy = RolePolicy::default();
+    let policy = RolePolicy {
+        prefill_part: 0.55,
+        ..RolePolicy::default()
+    };
     let changes = stage_changes(&engines(2), "s", policy, &[]);
     assert_eq!(changes.len(), 3);
     assert!(changes.iter().all(|(_, stage)| *stage == Stage::Prefill));
