--- a/crates/core/tests/gateway_scale.rs
+++ b/crates/core/tests/gateway_scale.rs
@@ -55,9 +55,10 @@
         for _ in 0..seconds * 5 {
             self.now += SECOND / 5;
             let now = self.now;
-            let (started, rest) = self.starting.drain(..).partition(|(at, _)| *at <= now);
+            let (started, rest): (Vec<_>, Vec<_>) =
+                self.starting.drain(..).partition(|(at, _)| *at <= now);
             self.starting = rest;
-            for (_, order) in Vec::<(Duration, CountOrder)>::from(started) {
+            for (_, order) in started {
                 match order.is_reclaimable {
                     true if self.has_reclaimable => self.reclaimable = order.count,
                     true => {}
