Log and count the rate limits that targets state

The platform's answers may carry a limit of requests per second for all vms together.

A notice line now reports each change of a target's limit, and counters report the statements and the requests that were sent to a target while its limit was known, by work. No decision uses them yet.

A statement counts only if the answer belongs to the request: a late copy of an earlier answer may state an old limit. An answer without a limit ends one only if its request was sent after the limit had been stated, because answers on different connections may overtake each other.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -16,6 +16,7 @@
 mod peer_selection;
 mod placement;
 mod prompt_owner;
+mod rate_limits;
 mod roles;
 mod scale;
 mod settings;
@@ -43,6 +44,7 @@
     PromptPlacementRequest, PromptRequestId, UnresponsiveOwners, owner_of, prompt_timeout,
     reply_timeout,
 };
+pub use rate_limits::RateLimits;
 pub use roles::{RolePolicy, stage_changes};
 pub use scale::{CountOrder, ScalePolicy, Scaler};
 pub use settings::{
--- a/crates/gateway/src/adapters.rs
+++ b/crates/gateway/src/adapters.rs
@@ -12,6 +12,7 @@
 use jujubebeam_core::{Fence, Revision};
 use ntex::client::Client;
 use smallvec::SmallVec;
+use strum::IntoStaticStr;
 
 /// Implementations of all external interfaces of the gateway.
 pub trait Adapters: Copy + 'static {
@@ -62,7 +63,8 @@
 }
 
 /// The part of a request's work that a target performs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Work<'a> {
     /// All of it.
     #[default]
@@ -115,19 +117,33 @@
     Invalid,
 }
 
+/// Rate limit that a target states with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateLimitNotice {
+    /// The target states no limit.
+    #[default]
+    None,
+    /// Requests per second that the target accepts from all vms together.
+    PerSecond(f64),
+    /// The target stated a limit that cannot be parsed.
+    Invalid,
+}
+
 /// Notice that a target sends about itself with an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetNotice {
     /// The target is leaving.
     pub is_leaving: bool,
     /// Whether the target requests backoff.
     pub backoff: BackoffRequest,
+    /// Whether the target limits its requests per second.
+    pub rate_limit: RateLimitNotice,
     /// The answer is from another target than the one to which the request was addressed.
     pub is_from_other_target: bool,
 }
 
 /// Result of an order to a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OrderAnswer {
     /// How the send ended.
     pub result: SendResult,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -104,6 +104,8 @@
     };
     let backup = in_flight.backup.as_ref();
     let request = job.request::<A>(placement, work, backup.map(|b| b.address.as_str()));
+    let sent_at = shared.now();
+    record_limited_send(shared, placement, &work);
     let response = match connection.send(request).await {
         Ok(response) => response,
         Err(error) => {
@@ -119,14 +121,29 @@
         &TargetHeaders(response.headers()),
     );
     notice::apply_notice(context, placement.key, target, head.notice);
-    check_head(context, job, in_flight, work, &head, response, connection).await
+    let sent = SentWork { work, sent_at };
+    check_head(context, job, in_flight, sent, &head, response, connection).await
+}
+
+/// Counts a request to a target that limits its requests per second.
+fn record_limited_send(shared: &Shared, placement: &Placement, work: &Work<'_>) {
+    let limit_per_s = shared.fleet().rate_limits.limit_per_s(placement.key);
+    if limit_per_s.is_some() {
+        shared.metrics.limited_send(work.into());
+    }
+}
+
+/// Work that was sent to a target.
+struct SentWork<'a> {
+    work: Work<'a>,
+    sent_at: Duration,
 }
 
 async fn check_head<A: Adapters>(
     context: &Context<A>,
     job: &Job,
     in_flight: &InFlight,
-    work: Work<'_>,
+    sent: SentWork<'_>,
     head: &AnswerHead,
     response: Response<hyper::body::Incoming>,
     connection: TargetConnection,
@@ -136,12 +153,20 @@
         echoed_id: head.attempt_id.as_deref(),
         is_first_on_connection: connection.is_first_exchange(),
         is_not_run: head.not_run,
-        is_prompt: work.is_prefill(),
+        is_prompt: sent.work.is_prefill(),
         is_success: response.status().is_success(),
         is_signed: head.is_signed,
         is_encoded: response.headers().contains_key(header::CONTENT_ENCODING),
     };
-    match check_answer(&claim) {
+    let verdict = check_answer(&claim);
+    // A late copy of an earlier answer may state a limit that no longer applies.
+    if matches!(verdict, AnswerVerdict::Own | AnswerVerdict::NotRun)
+        && !head.notice.is_from_other_target
+    {
+        let Placement { key, target, .. } = &in_flight.placement;
+        notice::record_rate_limit(context, *key, target, head.notice.rate_limit, sent.sent_at);
+    }
+    match verdict {
         AnswerVerdict::Own => {
             in_flight.answered(head.load);
             let is_named = claim.echoed_id.is_some();
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -131,6 +131,7 @@
             fleet.catalog.remove_expired(now);
             fleet.placer.evict_removed(&fleet.catalog, now);
             fleet.owner.evict_expired(&fleet.catalog, now);
+            fleet.rate_limits.evict_removed(&fleet.catalog);
             fleet.placer.set_vms(vms);
             fleet.owner.set_vms(vms, all);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,8 +32,8 @@
 
 pub use adapters::{
     Adapters, AnswerHead, Authorised, BackoffRequest, DutiesApi, DutyResult, HeaderLookup,
-    Incoming, OrderAnswer, Outgoing, OutgoingHeaders, StoreApi, StoredSettings, TargetNotice,
-    WatchReply, Wire, Work,
+    Incoming, OrderAnswer, Outgoing, OutgoingHeaders, RateLimitNotice, StoreApi, StoredSettings,
+    TargetNotice, WatchReply, Wire, Work,
 };
 pub use config::{GatewayConfig, GatewayDuty, ListenAddresses, StreamGaps};
 pub use decision_log::write_json;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     placed: IntCounterVec,
     duties: IntCounterVec,
     notices: IntCounterVec,
+    limited_sends: IntCounterVec,
     /// Failed list and watch calls of the replicas.
     pub(crate) store_failures: IntCounter,
     /// Version of the settings in force.
@@ -76,6 +77,11 @@
             "What targets said of themselves with their answers",
             &["notice"],
         );
+        let limited_sends = counter(
+            "jujubebeam_limited_target_requests_total",
+            "Requests sent to targets that limit their requests per second, by work",
+            &["work"],
+        );
         let latency = HistogramOpts::new(
             "jujubebeam_request_seconds",
             "Time from arrival to the end of the answer",
@@ -108,6 +114,7 @@
             placed,
             duties,
             notices,
+            limited_sends,
             store_failures,
             settings_version,
             targets,
@@ -137,6 +144,11 @@
         self.notices.with_label_values(&[notice]).inc();
     }
 
+    /// Records that a request was sent to a target that limits its requests per second.
+    pub(crate) fn limited_send(&self, work: &'static str) {
+        self.limited_sends.with_label_values(&[work]).inc();
+    }
+
     /// Records that a duty was performed or refused.
     pub(crate) fn duty(&self, duty: &'static str, is_accepted: bool) {
         let accepted = if is_accepted { "yes" } else { "no" };
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -1,8 +1,10 @@
 //! Notices that targets send about themselves: recorded, logged and gossiped to other vms.
 
+use std::time::Duration;
+
 use jujubebeam_core::gateway::{CatalogTarget, TargetKey, TargetRun};
 
-use crate::adapters::{Adapters, BackoffRequest, TargetNotice};
+use crate::adapters::{Adapters, BackoffRequest, RateLimitNotice, TargetNotice};
 use crate::decision_log::{DecisionKind, decision, millis};
 use crate::message::Message;
 use crate::server::Context;
@@ -61,6 +63,52 @@
     }
 }
 
+/// Records whether an answer of a target to a request that was sent at `sent_at` states a rate
+/// limit.
+pub(crate) fn record_rate_limit<A: Adapters>(
+    context: &Context<A>,
+    key: TargetKey,
+    target: &CatalogTarget,
+    notice: RateLimitNotice,
+    sent_at: Duration,
+) {
+    let shared = &context.shared;
+    let limit_per_s = match notice {
+        RateLimitNotice::None => None,
+        RateLimitNotice::PerSecond(per_s) => {
+            shared.metrics.notice("limit");
+            Some(per_s)
+        }
+        RateLimitNotice::Invalid => {
+            shared.metrics.notice("unreadable_limit");
+            decision!(
+                shared,
+                DecisionKind::Notice,
+                target = target.id.as_str(),
+                notice = "unreadable_limit",
+                outcome = "ignored"
+            );
+            return;
+        }
+    };
+    let now = shared.now();
+    let is_changed = shared
+        .fleet()
+        .rate_limits
+        .record(key, limit_per_s, sent_at, now);
+    if is_changed {
+        decision!(
+            shared,
+            DecisionKind::Notice,
+            target = target.id.as_str(),
+            notice = "limit",
+            from = "target",
+            limit_per_s = limit_per_s,
+            outcome = "recorded"
+        );
+    }
+}
+
 /// Merges the leaving targets that another vm has recorded. Returns those that it may not have.
 pub(crate) fn merge_leaving<A: Adapters>(
     context: &Context<A>,
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -191,6 +191,7 @@
         catalog,
         placer,
         owner,
+        ..
     } = &mut *fleet;
     if owned.owner() != shared.vm {
         placer.adopt_prefill_cost(&job.service, answer.prefill_cost, now);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,7 @@
 use jujubebeam_core::authority::{Authority, AuthorityConfig, Holder};
 use jujubebeam_core::gateway::{
     Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, GatewaySettings, Mirror,
-    PlacementConfig, Placer, PromptOwner, PromptRequestId, Stage, StartGate, TrueTime,
+    PlacementConfig, Placer, PromptOwner, PromptRequestId, RateLimits, Stage, StartGate, TrueTime,
     UnresponsiveOwners, UsageWindows,
 };
 use jujubebeam_core::membership::{Membership, MembershipConfig, Record};
@@ -28,6 +28,8 @@
     pub(crate) placer: Placer,
     /// Prompts of all vms for the services that this vm owns.
     pub(crate) owner: PromptOwner,
+    /// Rate limits that targets have stated.
+    pub(crate) rate_limits: RateLimits,
 }
 
 impl Fleet {
@@ -149,6 +151,7 @@
                 catalog: Catalog::default(),
                 owner: PromptOwner::new(placement.clone()),
                 placer: Placer::new(placement),
+                rate_limits: RateLimits::default(),
             }),
             unresponsive_owners: Mutex::default(),
             prompt_ends: PromptEnds::default(),
