Keep the rate limits of targets over all vms together

Callers saw nothing; targets that said what they take got more. A target may state a limit of requests per second for all vms together in its answers. In the incident two engines that stated 7.4 and 8.5 got 91 and 101 requests in 4 s, with 49 and 56 allowed.

Nothing in it limits requests per second to a target; what it keeps of a target for all vms was that it leaves.

Class: a statement of a target for the whole fleet that vms do not share.

Now the owner of a service grants a permit for each request to a limited target. A vm that is refused one omits the target until the next is due, so the queries are few and unlimited targets cost none. Statements go to the owner at once, from there to all vms, and with every query for updates. The owner takes the permits of the prompts that it places. Continued streams and orders need permits too. Without an owner, the vms use a quarter of the limit in equal parts. If all targets are limited, callers are refused at once with Retry-After, and no prompt is computed whose answer has no permit.

Ruled out: equal shares (0.06 a second for each of 95 vms at 5.6, and one vm with all callers gets 1/95 of the limit), shares by demand or leases (lost while a vm is frozen), time slots by hash (exact, but unused at vms without callers).

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -14,6 +14,7 @@
 mod packed;
 mod pauses;
 mod peer_selection;
+mod permits;
 mod placement;
 mod prompt_owner;
 mod rate_limits;
@@ -35,6 +36,7 @@
 pub use packed::PackedValue;
 pub use pauses::{PauseLimits, caller_idle_timeout, stall_timeout};
 pub use peer_selection::PeerSelector;
+pub use permits::{PermitConfig, PermitDemand, PermitQuery, PermitReply, Permits};
 pub use placement::{
     EnginePath, EnginePlan, LoadReport, OmittedTargets, Placement, PlacementConfig, PlacementId,
     PlacementRefused, PlacementRequest, Placer, PrefillCost, PromptPart, is_worth_backup,
@@ -44,7 +46,7 @@
     PromptPlacementRequest, PromptRequestId, UnresponsiveOwners, owner_of, prompt_timeout,
     reply_timeout,
 };
-pub use rate_limits::RateLimits;
+pub use rate_limits::{RateLimitReport, RateLimits};
 pub use roles::{RolePolicy, stage_changes};
 pub use scale::{CountOrder, ScalePolicy, Scaler};
 pub use settings::{
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -170,6 +170,13 @@
         self.by_id.get(id).copied()
     }
 
+    /// Key of a run, if it is in the catalog.
+    pub fn key_of_run(&self, run: &TargetRun) -> Option<TargetKey> {
+        let key = self.key_of(&run.id)?;
+        let target = self.targets.get(&key)?;
+        run.is_run_of(target).then_some(key)
+    }
+
     /// A target by id.
     pub fn by_id(&self, id: &str) -> Option<&CatalogTarget> {
         self.targets.get(self.by_id.get(id)?)
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -125,6 +125,8 @@
     pub leaving: u32,
     /// Targets that requested backoff.
     pub backing_off: u32,
+    /// Targets whose rate limit is used up.
+    pub limited: u32,
 }
 
 /// Why no target was chosen.
@@ -144,6 +146,11 @@
         /// Time until the first of them accepts work again.
         retry_after: Duration,
     },
+    /// The rate limits of all targets that could run the request are used up.
+    Limited {
+        /// Time after which a retry may succeed.
+        retry_after: Duration,
+    },
 }
 
 /// Chooses targets and tracks their load as seen by this vm.
@@ -186,6 +193,13 @@
     home_rank: usize,
 }
 
+/// Whether targets are omitted for which no permit is expected to be available.
+#[derive(Clone, Copy, Debug)]
+enum Holds {
+    Respected,
+    Ignored,
+}
+
 /// Inputs that are common to all candidates for one request.
 #[derive(Clone, Copy, Debug)]
 struct ServiceView<'a> {
@@ -242,10 +256,41 @@
         catalog: &Catalog,
         request: &PlacementRequest<'_>,
         now: Duration,
+    ) -> Result<Placement, PlacementRefused> {
+        self.place_with(catalog, request, Holds::Respected, now)
+    }
+
+    /// Chooses a target for the remainder of a run that has broken off. Permits for such requests may
+    /// be available when there are none for others.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no target can take the request. No request is counted in that case.
+    pub fn place_continuation(
+        &mut self,
+        catalog: &Catalog,
+        request: &PlacementRequest<'_>,
+        now: Duration,
+    ) -> Result<Placement, PlacementRefused> {
+        let placed = self.place_with(catalog, request, Holds::Respected, now);
+        match placed {
+            Err(PlacementRefused::Limited { .. }) => {
+                self.place_with(catalog, request, Holds::Ignored, now)
+            }
+            placed => placed,
+        }
+    }
+
+    fn place_with(
+        &mut self,
+        catalog: &Catalog,
+        request: &PlacementRequest<'_>,
+        holds: Holds,
+        now: Duration,
     ) -> Result<Placement, PlacementRefused> {
         self.choices += 1;
         let chance = mix(self.config.seed ^ self.choices);
-        let candidates = self.candidates(catalog, request, now);
+        let candidates = self.candidates_with(catalog, request, holds, now);
         // Vms with equal or no load information would otherwise all choose the same target.
         let rank = |c: &Candidate<'_>| {
             let random = mix(chance ^ u64::from(c.key.0)) as f64 / u64::MAX as f64;
@@ -259,8 +304,9 @@
         Ok(self.record_candidate(catalog, best, request, now))
     }
 
-    /// Counts a request at the given target, for example one that holds state of the request.
-    /// Returns `None` if the target accepts no work.
+    /// Counts a request at the given target, for example one that holds state of the request. If the
+    /// target limits its requests per second, the request needs a permit. Returns `None` if the
+    /// target accepts no work.
     pub fn place_at(
         &mut self,
         catalog: &Catalog,
@@ -269,7 +315,7 @@
         now: Duration,
     ) -> Option<Placement> {
         self.choices += 1;
-        let candidates = self.candidates(catalog, request, now);
+        let candidates = self.candidates_with(catalog, request, Holds::Ignored, now);
         let candidate = candidates.into_iter().find(|c| c.key == key)?;
         Some(self.record_candidate(catalog, candidate, request, now))
     }
@@ -288,7 +334,9 @@
         let others = candidates.filter(|c| c.key != placed.key);
         let rank = |c: &Candidate<'_>| {
             let busy = c.expected_in_flight / f64::from(c.target.slots.max(1));
-            (c.target.zone != placed.target.zone, busy)
+            // Continuing the run at a limited target would take a permit.
+            let is_limited = self.is_limited(c.key);
+            ((is_limited, c.target.zone != placed.target.zone), busy)
         };
         let best = others.min_by(|a, b| {
             let (a, b) = (rank(a), rank(b));
@@ -419,6 +467,31 @@
         catalog: &Catalog,
         request: &PlacementRequest<'_>,
         now: Duration,
+    ) -> Result<EnginePlan, PlacementRefused> {
+        self.plan_with(catalog, request, Holds::Respected, now)
+    }
+
+    /// Like [`Placer::plan_engine_request`], for a request that has a permit for the engine of its
+    /// answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no engine can take the request.
+    pub fn plan_permitted_request(
+        &self,
+        catalog: &Catalog,
+        request: &PlacementRequest<'_>,
+        now: Duration,
+    ) -> Result<EnginePlan, PlacementRefused> {
+        self.plan_with(catalog, request, Holds::Ignored, now)
+    }
+
+    fn plan_with(
+        &self,
+        catalog: &Catalog,
+        request: &PlacementRequest<'_>,
+        holds: Holds,
+        now: Duration,
     ) -> Result<EnginePlan, PlacementRefused> {
         let prefill = PlacementRequest {
             stage: Some(Stage::Prefill),
@@ -430,7 +503,7 @@
             parts: &[],
             ..request.clone()
         };
-        let answers = self.candidates(catalog, &handed_over, now);
+        let answers = self.candidates_with(catalog, &handed_over, holds, now);
         let wait_ms = answers
             .iter()
             .map(|c| c.wait_ms)
@@ -468,9 +541,8 @@
         }
         let excess_ms = (wait_ms - longest_ms).clamp(0.0, MAX_REPORTED_WAIT_MS);
         let excess = Duration::from_secs_f64(excess_ms / 1000.0);
-        let retry_after = excess
-            .max(request.time_left.mul_f64(self.config.retry_time_ratio))
-            .clamp(self.config.min_retry_after, self.config.max_retry_after);
+        let longest = self.config.max_retry_after;
+        let retry_after = self.retry_after(request, excess.min(longest));
         let wait = Duration::from_secs_f64(wait_ms.min(MAX_REPORTED_WAIT_MS) / 1000.0);
         Err(PlacementRefused::Overloaded { retry_after, wait })
     }
@@ -616,10 +688,26 @@
         catalog: &'a Catalog,
         request: &PlacementRequest<'_>,
         now: Duration,
+    ) -> Vec<Candidate<'a>> {
+        self.candidates_with(catalog, request, Holds::Respected, now)
+    }
+
+    fn candidates_with<'a>(
+        &self,
+        catalog: &'a Catalog,
+        request: &PlacementRequest<'_>,
+        holds: Holds,
+        now: Duration,
     ) -> Vec<Candidate<'a>> {
         let all: Vec<_> = self
             .eligible(catalog, request, now)
-            .filter(|(key, _)| self.backoff_remaining(*key, now).is_zero())
+            .filter(|(key, _)| {
+                let is_free = match holds {
+                    Holds::Respected => self.hold_remaining(*key, now).is_zero(),
+                    Holds::Ignored => true,
+                };
+                is_free && self.backoff_remaining(*key, now).is_zero()
+            })
             .collect();
         let healthy: Vec<_> = all
             .iter()
@@ -709,15 +797,76 @@
         now: Duration,
     ) -> PlacementRefused {
         let eligible = self.eligible(catalog, request, now);
-        let shortest_backoff = eligible
-            .map(|(key, _)| self.backoff_remaining(key, now))
-            .min();
-        match shortest_backoff {
-            Some(retry_after) => PlacementRefused::Resting { retry_after },
+        let unavailable = eligible.map(|(key, _)| {
+            let hold = self.hold_remaining(key, now);
+            let backoff = self.backoff_remaining(key, now);
+            (hold.max(backoff), hold > backoff)
+        });
+        match unavailable.min() {
+            Some((time, true)) => PlacementRefused::Limited {
+                retry_after: self.retry_after(request, time),
+            },
+            Some((retry_after, false)) => PlacementRefused::Resting { retry_after },
             None => PlacementRefused::NoTarget,
         }
     }
 
+    /// Time after which the caller of a request that is refused for lack of capacity may retry, but
+    /// not before `earliest`.
+    pub fn retry_after(&self, request: &PlacementRequest<'_>, earliest: Duration) -> Duration {
+        let config = &self.config;
+        let later = request.time_left.mul_f64(config.retry_time_ratio);
+        let retry_after = earliest.max(later);
+        retry_after
+            .clamp(config.min_retry_after, config.max_retry_after)
+            .max(earliest)
+    }
+
+    /// Remaining time for which no permit for a target is expected to be available.
+    fn hold_remaining(&self, key: TargetKey, now: Duration) -> Duration {
+        let until = self
+            .states
+            .get(&key)
+            .map_or(Duration::ZERO, |s| s.held_until);
+        until.saturating_sub(now)
+    }
+
+    /// Omits a target until a permit for it is expected to be available.
+    pub fn hold(&mut self, key: TargetKey, stage: Option<Stage>, time: Duration, now: Duration) {
+        self.state(key, stage).held_until = now.saturating_add(time);
+    }
+
+    /// Records whether a target limits its requests per second.
+    pub fn set_limited(&mut self, key: TargetKey, stage: Option<Stage>, is_limited: bool) {
+        let state = self.state(key, stage);
+        if state.is_limited != is_limited {
+            state.is_limited = is_limited;
+            state.held_until = Duration::ZERO;
+        }
+    }
+
+    fn is_limited(&self, key: TargetKey) -> bool {
+        self.states.get(&key).is_some_and(|state| state.is_limited)
+    }
+
+    /// Best target for a request, if all targets that could run it limit their requests per second.
+    pub fn only_limited(
+        &self,
+        catalog: &Catalog,
+        request: &PlacementRequest<'_>,
+        now: Duration,
+    ) -> Option<TargetKey> {
+        let candidates = self.candidates(catalog, request, now);
+        if !candidates.iter().all(|c| self.is_limited(c.key)) {
+            return None;
+        }
+        let rank = |c: &Candidate<'_>| c.predicted_ms + c.drawback_ms;
+        let best = candidates
+            .iter()
+            .min_by(|a, b| rank(a).total_cmp(&rank(b)))?;
+        Some(best.key)
+    }
+
     /// Remaining time for which a target accepts no work from this vm.
     pub fn backoff_remaining(&self, key: TargetKey, now: Duration) -> Duration {
         let until = self
@@ -762,6 +911,7 @@
             let is_backing_off =
                 target.phase == TargetPhase::Ready && !self.backoff_remaining(key, now).is_zero();
             omitted.backing_off += u32::from(is_backing_off);
+            omitted.limited += u32::from(!self.hold_remaining(key, now).is_zero());
         }
         omitted
     }
--- a/crates/core/src/gateway/placement/load.rs
+++ b/crates/core/src/gateway/placement/load.rs
@@ -108,6 +108,10 @@
     pub(super) avoided_until: Duration,
     /// Time until which the target accepts no work from this vm.
     pub(super) backoff_until: Duration,
+    /// Whether the target limits its requests per second.
+    pub(super) is_limited: bool,
+    /// Time until which no permit for the target is expected to be available.
+    pub(super) held_until: Duration,
     /// Refusals since the last answer.
     pub(super) refusals: u32,
     /// Stage that the engine was ordered to take, and until when the change is assumed to be
--- a/crates/core/src/gateway/prompt_owner.rs
+++ b/crates/core/src/gateway/prompt_owner.rs
@@ -19,10 +19,12 @@
 use smallvec::SmallVec;
 
 use super::catalog::{Catalog, Stage, TargetKey};
+use super::permits::{PermitDemand, Permits};
 use super::placement::{
     LoadReport, Placement, PlacementConfig, PlacementRefused, PlacementRequest, Placer,
     PrefillCost, PromptPart,
 };
+use super::rate_limits::RateLimits;
 use super::settings::EngineLimits;
 use crate::VmId;
 use crate::authority::mix;
@@ -61,6 +63,9 @@
     pub time_left: Duration,
     /// Zone of the requesting vm.
     pub zone: String,
+    /// Rank of the request, 0 is the highest.
+    #[serde(default)]
+    pub rank: u32,
 }
 
 /// The engine that the owner has chosen.
@@ -292,6 +297,51 @@
         }
     }
 
+    /// Places a prompt within the rate limits of the engines.
+    pub fn place_within_limits(
+        &mut self,
+        catalog: &Catalog,
+        limits: &RateLimits,
+        permits: &mut Permits,
+        prompt_request: &PromptPlacementRequest,
+        engine: EngineLimits,
+        now: Duration,
+    ) -> PromptPlacementReply {
+        let demand = PermitDemand {
+            rank: prompt_request.rank,
+            is_continuation: false,
+        };
+        let limited: SmallVec<[_; 4]> = limits
+            .of_service(catalog, &prompt_request.service)
+            .collect();
+        for (key, limit_per_s) in limited.iter().copied() {
+            let stage = catalog.get(key).and_then(|target| target.stage);
+            let wait = permits.wait(key, limit_per_s, demand, now);
+            self.placer.hold(key, stage, wait, now);
+        }
+        let reply = self.place(catalog, prompt_request, engine, now);
+        for (key, limit_per_s) in limited {
+            let is_chosen = reply
+                .place
+                .as_ref()
+                .is_ok_and(|place| catalog.key_of(&place.target) == Some(key));
+            let is_refused = matches!(reply.place, Err(PlacementRefused::Limited { .. }));
+            if is_chosen {
+                // The engine was not held, so a permit is available.
+                let granted = permits.grant(key, limit_per_s, demand, now);
+                debug_assert!(granted.is_ok(), "placed at an engine without a permit");
+            } else if is_refused {
+                permits.record_refusal(key, demand, now);
+            }
+        }
+        reply
+    }
+
+    /// Records whether an engine limits its requests per second.
+    pub fn set_limited(&mut self, key: TargetKey, stage: Option<Stage>, is_limited: bool) {
+        self.placer.set_limited(key, stage, is_limited);
+    }
+
     /// Records the end of a prompt. An unknown prompt was placed before this vm became the owner,
     /// or was cancelled before its request arrived.
     pub fn ended(&mut self, end: &PromptEnd, now: Duration) {
--- a/crates/core/tests/gateway_owner.rs
+++ b/crates/core/tests/gateway_owner.rs
@@ -76,6 +76,7 @@
             longest_wait: ms(400),
             time_left: ms(8000),
             zone: "a".into(),
+            rank: 0,
         }
     }
 
--- a/crates/core/tests/support_burst/mod.rs
+++ b/crates/core/tests/support_burst/mod.rs
@@ -502,6 +502,7 @@
             longest_wait: longest,
             time_left: left,
             zone: "a".into(),
+            rank: 0,
         };
         let answer = self
             .owner
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -36,6 +36,8 @@
     NoTarget,
     /// All targets are backing off.
     TargetsRest,
+    /// The rate limits of all targets are used up.
+    TargetsLimited,
     /// The answer would arrive too late.
     Overloaded,
     /// The request crashed several targets.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -160,11 +160,9 @@
     };
     let verdict = check_answer(&claim);
     // A late copy of an earlier answer may state a limit that no longer applies.
-    if matches!(verdict, AnswerVerdict::Own | AnswerVerdict::NotRun)
-        && !head.notice.is_from_other_target
-    {
+    if matches!(verdict, AnswerVerdict::Own | AnswerVerdict::NotRun) {
         let Placement { key, target, .. } = &in_flight.placement;
-        notice::record_rate_limit(context, *key, target, head.notice.rate_limit, sent.sent_at);
+        notice::record_rate_limit(context, *key, target, head.notice, sent.sent_at);
     }
     match verdict {
         AnswerVerdict::Own => {
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -1,14 +1,15 @@
 //! Backups of runs at a second engine. See [`jujubebeam_core::gateway::is_worth_backup`].
 
-use std::sync::Arc;
-
 use jujubebeam_core::gateway::{
     Placement, PlacementRequest, Repeatability, RequestKind, is_worth_backup,
 };
 
+use crate::adapters::Adapters;
+use crate::forward;
 use crate::in_flight::InFlight;
 use crate::job::Job;
 use crate::request_log::record_placement;
+use crate::server::Context;
 use crate::state::{Fleet, Shared};
 
 /// An engine that keeps a backup of a run.
@@ -42,14 +43,22 @@
 
 /// Places the remainder of a run at the engine that keeps its backup, if that engine still accepts
 /// work.
-pub(crate) fn place(shared: &Arc<Shared>, job: &Job, backup: &Backup) -> Option<InFlight> {
+pub(crate) async fn place<A: Adapters>(
+    context: &Context<A>,
+    job: &Job,
+    backup: &Backup,
+) -> Option<InFlight> {
+    let shared = &context.shared;
+    let key = shared.fleet().catalog.key_of(&backup.id)?;
+    if !forward::acquire_permit(context, job, key, true).await {
+        return None;
+    }
     let request = decode_request(shared, job);
     let placement = {
         let mut fleet = shared.fleet();
         let Fleet {
             catalog, placer, ..
         } = &mut *fleet;
-        let key = catalog.key_of(&backup.id)?;
         placer.place_at(catalog, &request, key, shared.now())?
     };
     record_placement(shared, job, "copy", &placement);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -131,7 +131,9 @@
             fleet.catalog.remove_expired(now);
             fleet.placer.evict_removed(&fleet.catalog, now);
             fleet.owner.evict_expired(&fleet.catalog, now);
-            fleet.rate_limits.evict_removed(&fleet.catalog);
+            fleet.rate_limits.evict_removed(&fleet.catalog, now);
+            fleet.permits.evict_removed(&fleet.catalog);
+            fleet.apply_limits();
             fleet.placer.set_vms(vms);
             fleet.owner.set_vms(vms, all);
         }
@@ -387,10 +389,15 @@
         let own_zone = peers::in_own_zone(context, &reachable_peers);
         if let Some(to) = selector.next(&reachable_peers, &own_zone) {
             let mut messages = vec![delta_request(context)];
-            // An empty list is sent too, because it lets a vm that has just started get the
-            // leaving targets from the reply.
-            let leaving = shared.fleet().catalog.leaving_runs();
+            // Empty lists are sent too, because they let a vm that has just started get the leaving
+            // and limited targets from the reply.
+            let (leaving, rate_limits) = {
+                let (fleet, now) = (shared.fleet(), shared.now());
+                let rate_limits = fleet.rate_limits.reports(&fleet.catalog, now);
+                (fleet.catalog.leaving_runs(), rate_limits)
+            };
             messages.push(Message::Leaving(leaving));
+            messages.push(Message::RateLimits(rate_limits));
             sends_counts = !sends_counts;
             if sends_counts {
                 let newest = shared.usage().windows.own_newest(REPLICATED_WINDOWS);
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -7,20 +7,21 @@
 use futures_util::future::join_all;
 use jujubebeam_core::authority::{Command, Event, Scope, SendResult};
 use jujubebeam_core::gateway::{
-    CollectStep, CountOrder, RolePolicy, ScalePolicy, Scaler, Stage, UsageCollection, WindowCounts,
-    stage_changes,
+    CollectStep, CountOrder, PermitDemand, RolePolicy, ScalePolicy, Scaler, Stage, UsageCollection,
+    WindowCounts, stage_changes,
 };
 use jujubebeam_core::store::{Expected, StoreOp, StoreReply};
 use jujubebeam_core::{Fence, Incarnation, Machine};
 use ntex::time::sleep;
 use serde::{Deserialize, Serialize};
 
-use crate::adapters::{Adapters, Authorised, DutiesApi, DutyResult, StoreApi};
+use crate::adapters::{Adapters, Authorised, DutiesApi, DutyResult, RateLimitNotice, StoreApi};
 use crate::config::GatewayDuty;
 use crate::decision_log::{DecisionKind, decision};
 use crate::message::Message;
 use crate::notice;
 use crate::peers;
+use crate::permit;
 use crate::server::Context;
 use crate::state::Shared;
 
@@ -224,6 +225,14 @@
             if is_backing_off(shared, target) {
                 return SendResult::NotSent;
             }
+            let key = shared.fleet().catalog.key_of(target);
+            let Some(key) = key else {
+                return SendResult::Rejected;
+            };
+            let (service, demand) = (&found.service, PermitDemand::default());
+            if !permit::acquire(context, service, key, demand, ORDER_TIME_LIMIT).await {
+                return SendResult::NotSent;
+            }
             // All vms stop sending new work before the engine starts to refuse it.
             let now = shared.now();
             shared.fleet().changes_stage(target, *stage, now);
@@ -234,9 +243,11 @@
             peers::broadcast(context, &message);
             sleep(BROADCAST_DELAY).await;
             let answer = client.order_stage(authorised(), &found, *stage).await;
-            let key = shared.fleet().catalog.key_of(target);
-            if let Some(key) = key {
-                notice::apply_notice(context, key, &found, answer.notice);
+            notice::apply_notice(context, key, &found, answer.notice);
+            // Answers to orders may lack a limit that other answers state.
+            if answer.notice.rate_limit != RateLimitNotice::None {
+                let sent_at = shared.now();
+                notice::record_rate_limit(context, key, &found, answer.notice, sent_at);
             }
             answer.result
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use jujubebeam_core::gateway::{
-    AttemptEnd, EnginePlan, FinalAnswer, NextStep, PlacementRefused, PlacementRequest, PromptPart,
-    Repeatability, RequestProgress, Stage, TargetKey,
+    AttemptEnd, EnginePlan, FinalAnswer, NextStep, PermitDemand, PlacementRefused,
+    PlacementRequest, PromptPart, Repeatability, RequestProgress, Stage, TargetKey,
 };
 use jujubebeam_core::quarantine::Verdict;
 use ntex::web::types::{Payload, State};
@@ -22,6 +22,7 @@
 use crate::in_flight::InFlight;
 use crate::job::{Job, accept};
 use crate::owner;
+use crate::permit;
 use crate::prompt::{self, Prompt};
 use crate::request_log::{record_failed_attempt, record_placement, record_refusal};
 use crate::server::Context;
@@ -120,6 +121,7 @@
     let mut excluded: SmallVec<[TargetKey; 4]> = SmallVec::new();
     let mut error_answer: Option<CompleteAnswer> = None;
     let mut prompt = Prompt::NotComputed;
+    let mut reserved = None;
     let refuse = |refusal: Refusal| {
         let id = &job.incoming.attempt_id;
         let age = job.arrived_at.elapsed();
@@ -132,7 +134,7 @@
         return refuse(Refusal::not_run(Reason::CrashesTargets, retry_after));
     }
     loop {
-        let planned = match choose_step(context, job, &excluded, &prompt).await {
+        let planned = match choose_step(context, job, &excluded, &prompt, &mut reserved).await {
             Ok(planned) => planned,
             Err(refused) => {
                 if let Some(answer) = error_answer {
@@ -222,11 +224,13 @@
     Run(InFlight),
 }
 
+/// Chooses the next step. `reserved` is a target for which the request has a permit already.
 async fn choose_step<A: Adapters>(
     context: &Context<A>,
     job: &Job,
     excluded: &[TargetKey],
     prompt: &Prompt,
+    reserved: &mut Option<TargetKey>,
 ) -> Result<NextAttempt, Refusal> {
     let parts = &job.incoming.prompt_parts[..];
     let is_engine = job.stage().is_some();
@@ -235,25 +239,21 @@
             Prompt::Computed(_) => &[],
             _ => parts,
         };
-        return place(context, job, parts, excluded).map(NextAttempt::Run);
+        let in_flight = place_reserved(context, job, parts, excluded, reserved).await;
+        return in_flight.map(NextAttempt::Run);
     }
     let shared = &context.shared;
-    let plan = {
-        let fleet = shared.fleet();
-        let request = job.placement_request(&shared.config.zone, parts, excluded);
-        fleet
-            .placer
-            .plan_engine_request(&fleet.catalog, &request, shared.now())
-    };
+    let plan = plan(context, job, excluded, reserved).await;
     let plan = plan.map_err(|refused| placement_refusal(shared, refused, job))?;
     let EnginePlan::Split { longest_wait } = plan else {
         shared.metrics.placed("direct");
-        return place(context, job, parts, excluded).map(NextAttempt::Run);
+        let in_flight = place_reserved(context, job, parts, excluded, reserved).await;
+        return in_flight.map(NextAttempt::Run);
     };
     let chosen = owner::choose(context, job, excluded, longest_wait).await;
     let placement = match chosen {
         Some(placement) => placement,
-        None => place_prompt(shared, job, excluded, longest_wait),
+        None => place_prompt(context, job, excluded, longest_wait).await,
     };
     let in_flight = placement.map_err(|refused| placement_refusal(shared, refused, job))?;
     shared.metrics.placed("split");
@@ -261,48 +261,168 @@
     Ok(NextAttempt::Compute(in_flight))
 }
 
+/// Plans how engines run a request. If all engines for its answer limit their requests per second,
+/// reserves one of them, so that no prompt is computed in vain.
+async fn plan<A: Adapters>(
+    context: &Context<A>,
+    job: &Job,
+    excluded: &[TargetKey],
+    reserved: &mut Option<TargetKey>,
+) -> Result<EnginePlan, PlacementRefused> {
+    let shared = &context.shared;
+    let request = job.placement_request(&shared.config.zone, &job.incoming.prompt_parts, excluded);
+    let answer = PlacementRequest {
+        parts: &[],
+        ..request.clone()
+    };
+    for _ in 0..permit::MAX_QUERIES {
+        let (plan, limited) = {
+            let (fleet, now) = (shared.fleet(), shared.now());
+            let Fleet {
+                catalog, placer, ..
+            } = &*fleet;
+            if reserved.is_some() {
+                return placer.plan_permitted_request(catalog, &request, now);
+            }
+            let plan = placer.plan_engine_request(catalog, &request, now)?;
+            (plan, placer.only_limited(catalog, &answer, now))
+        };
+        let Some(key) = limited.filter(|_| matches!(plan, EnginePlan::Split { .. })) else {
+            return Ok(plan);
+        };
+        if acquire_permit(context, job, key, false).await {
+            *reserved = Some(key);
+            return Ok(plan);
+        }
+    }
+    Err(no_permit(shared, job, excluded))
+}
+
 /// Chooses a prefill engine from the local state of this vm alone.
-fn place_prompt(
-    shared: &Arc<Shared>,
+async fn place_prompt<A: Adapters>(
+    context: &Context<A>,
     job: &Job,
     excluded: &[TargetKey],
     longest_wait: Duration,
 ) -> Result<InFlight, PlacementRefused> {
+    let shared = &context.shared;
     let parts = &job.incoming.prompt_parts;
     let request = PlacementRequest {
         stage: Some(Stage::Prefill),
         longest_wait,
         ..job.placement_request(&shared.config.zone, parts, excluded)
     };
-    let mut fleet = shared.fleet();
-    let Fleet {
-        catalog, placer, ..
-    } = &mut *fleet;
-    let placement = placer.place(catalog, &request, shared.now())?;
-    Ok(InFlight::new(shared, placement))
+    place_permitted(context, job, &request, false).await
 }
 
-/// Chooses a target for the next attempt.
-pub(crate) fn place<A: Adapters>(
+/// Chooses a target for the next attempt, and obtains a permit if the target limits its requests.
+async fn place_permitted<A: Adapters>(
+    context: &Context<A>,
+    job: &Job,
+    request: &PlacementRequest<'_>,
+    is_continuation: bool,
+) -> Result<InFlight, PlacementRefused> {
+    let shared = &context.shared;
+    for _ in 0..permit::MAX_QUERIES {
+        let placement = {
+            let (mut fleet, now) = (shared.fleet(), shared.now());
+            let Fleet {
+                catalog, placer, ..
+            } = &mut *fleet;
+            match is_continuation {
+                true => placer.place_continuation(catalog, request, now),
+                false => placer.place(catalog, request, now),
+            }
+        };
+        let in_flight = InFlight::new(shared, placement?);
+        if acquire_permit(context, job, in_flight.placement.key, is_continuation).await {
+            return Ok(in_flight);
+        }
+    }
+    Err(no_permit(shared, job, request.excluded))
+}
+
+/// Obtains a permit for a request, which targets without a limit do not need.
+pub(crate) async fn acquire_permit<A: Adapters>(
+    context: &Context<A>,
+    job: &Job,
+    key: TargetKey,
+    is_continuation: bool,
+) -> bool {
+    let demand = PermitDemand {
+        rank: job.rank(),
+        is_continuation,
+    };
+    permit::acquire(context, &job.service, key, demand, job.route().latency_aim).await
+}
+
+/// Refusal of a request because other requests took the permits that were expected for it.
+fn no_permit(shared: &Shared, job: &Job, excluded: &[TargetKey]) -> PlacementRefused {
+    let request = job.placement_request(&shared.config.zone, &[], excluded);
+    let retry_after = shared.fleet().placer.retry_after(&request, Duration::ZERO);
+    PlacementRefused::Limited { retry_after }
+}
+
+/// Places a request at the target for which it has a permit, or else chooses a target.
+async fn place_reserved<A: Adapters>(
     context: &Context<A>,
     job: &Job,
     parts: &[PromptPart],
     excluded: &[TargetKey],
+    reserved: &mut Option<TargetKey>,
 ) -> Result<InFlight, Refusal> {
     let shared = &context.shared;
     let request = job.placement_request(&shared.config.zone, parts, excluded);
-    let placement = {
-        let mut fleet = shared.fleet();
+    let placed = reserved.take().and_then(|key| {
+        let (mut fleet, now) = (shared.fleet(), shared.now());
         let Fleet {
             catalog, placer, ..
         } = &mut *fleet;
-        placer.place(catalog, &request, shared.now())
-    };
-    let placement = placement.map_err(|refused| placement_refusal(shared, refused, job))?;
-    let is_handed_over = job.stage().is_some() && parts.is_empty();
-    let work = if is_handed_over { "answer" } else { "whole" };
-    record_placement(shared, job, work, &placement);
-    Ok(InFlight::new(shared, placement))
+        placer.place_at(catalog, &request, key, now)
+    });
+    if let Some(placement) = placed {
+        record_placement(shared, job, work_name(job, parts), &placement);
+        return Ok(InFlight::new(shared, placement));
+    }
+    place(context, job, parts, excluded).await
+}
+
+/// Chooses a target for the next attempt.
+async fn place<A: Adapters>(
+    context: &Context<A>,
+    job: &Job,
+    parts: &[PromptPart],
+    excluded: &[TargetKey],
+) -> Result<InFlight, Refusal> {
+    let shared = &context.shared;
+    let request = job.placement_request(&shared.config.zone, parts, excluded);
+    let placed = place_permitted(context, job, &request, false).await;
+    let in_flight = placed.map_err(|refused| placement_refusal(shared, refused, job))?;
+    record_placement(shared, job, work_name(job, parts), &in_flight.placement);
+    Ok(in_flight)
+}
+
+/// Chooses a target for the remainder of a stream.
+pub(crate) async fn place_continuation<A: Adapters>(
+    context: &Context<A>,
+    job: &Job,
+    excluded: &[TargetKey],
+) -> Result<InFlight, Refusal> {
+    let shared = &context.shared;
+    let parts = &job.incoming.prompt_parts;
+    let request = job.placement_request(&shared.config.zone, parts, excluded);
+    let placed = place_permitted(context, job, &request, true).await;
+    let in_flight = placed.map_err(|refused| placement_refusal(shared, refused, job))?;
+    record_placement(shared, job, work_name(job, parts), &in_flight.placement);
+    Ok(in_flight)
+}
+
+/// Name of the work of a placement, for the log.
+fn work_name(job: &Job, parts: &[PromptPart]) -> &'static str {
+    match job.stage().is_some() && parts.is_empty() {
+        true => "answer",
+        false => "whole",
+    }
 }
 
 fn placement_refusal(shared: &Shared, refused: PlacementRefused, job: &Job) -> Refusal {
@@ -317,6 +437,9 @@
         PlacementRefused::Resting { retry_after } => {
             Refusal::not_run(Reason::TargetsRest, retry_after)
         }
+        PlacementRefused::Limited { retry_after } => {
+            Refusal::not_run(Reason::TargetsLimited, retry_after)
+        }
         PlacementRefused::Overloaded { retry_after, wait } => Refusal {
             wait: Some(wait),
             longest_wait: Some(job.longest_wait),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -250,6 +250,16 @@
         &self.settings.routes[self.route]
     }
 
+    /// Rank of the request, 0 is the highest. That of the tenant overrides that of the route.
+    pub(crate) fn rank(&self) -> u32 {
+        let tenants = &self.settings.tenants;
+        let tenant = tenants
+            .iter()
+            .find(|t| Some(&t.name) == self.tenant.as_ref());
+        let rank = tenant.and_then(|tenant| tenant.priority);
+        rank.unwrap_or(self.route().priority)
+    }
+
     pub(crate) fn repeatability(&self) -> Repeatability {
         let route = self.route();
         match route.kind {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod notice;
 mod owner;
 mod peers;
+mod permit;
 mod prompt;
 mod request_log;
 mod server;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,8 +1,8 @@
 //! Messages between vms.
 
 use jujubebeam_core::gateway::{
-    MirrorDelta, PromptEnd, PromptPlacementReply, PromptPlacementRequest, RunCounts, Stage,
-    TargetRun,
+    MirrorDelta, PermitQuery, PermitReply, PromptEnd, PromptPlacementReply, PromptPlacementRequest,
+    RateLimitReport, RunCounts, Stage, TargetRun,
 };
 use jujubebeam_core::quarantine::QuarantineMessage;
 use jujubebeam_core::{Revision, membership};
@@ -46,6 +46,12 @@
     /// Runs of targets that announced that they are leaving. Answered with those that the sender
     /// may not have.
     Leaving(Vec<TargetRun>),
+    /// Rate limits that targets have stated. Answered with those that the receiver knows.
+    RateLimits(Vec<RateLimitReport>),
+    /// Queries the owner of a service for a permit to send a request to a limited target.
+    AskPermit(PermitQuery),
+    /// Answers `AskPermit`.
+    Permit(PermitReply),
     /// Queries the owner of a service for an engine that computes a prompt.
     PlacePrompt(PromptPlacementRequest),
     /// Answers `PlacePrompt`.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,7 @@
     duties: IntCounterVec,
     notices: IntCounterVec,
     limited_sends: IntCounterVec,
+    permits: IntCounterVec,
     /// Failed list and watch calls of the replicas.
     pub(crate) store_failures: IntCounter,
     /// Version of the settings in force.
@@ -82,6 +83,11 @@
             "Requests sent to targets that limit their requests per second, by work",
             &["work"],
         );
+        let permits = counter(
+            "jujubebeam_permits_total",
+            "Queries for permits to send to limited targets, by outcome",
+            &["outcome"],
+        );
         let latency = HistogramOpts::new(
             "jujubebeam_request_seconds",
             "Time from arrival to the end of the answer",
@@ -115,6 +121,7 @@
             duties,
             notices,
             limited_sends,
+            permits,
             store_failures,
             settings_version,
             targets,
@@ -149,6 +156,11 @@
         self.limited_sends.with_label_values(&[work]).inc();
     }
 
+    /// Records the outcome of a query for a permit.
+    pub(crate) fn permit(&self, outcome: &'static str) {
+        self.permits.with_label_values(&[outcome]).inc();
+    }
+
     /// Records that a duty was performed or refused.
     pub(crate) fn duty(&self, duty: &'static str, is_accepted: bool) {
         let accepted = if is_accepted { "yes" } else { "no" };
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -7,6 +7,7 @@
 use crate::adapters::{Adapters, BackoffRequest, RateLimitNotice, TargetNotice};
 use crate::decision_log::{DecisionKind, decision, millis};
 use crate::message::Message;
+use crate::permit;
 use crate::server::Context;
 
 /// Applies the notice in an answer of a target.
@@ -69,11 +70,14 @@
     context: &Context<A>,
     key: TargetKey,
     target: &CatalogTarget,
-    notice: RateLimitNotice,
+    notice: TargetNotice,
     sent_at: Duration,
 ) {
+    if notice.is_from_other_target {
+        return;
+    }
     let shared = &context.shared;
-    let limit_per_s = match notice {
+    let limit_per_s = match notice.rate_limit {
         RateLimitNotice::None => None,
         RateLimitNotice::PerSecond(per_s) => {
             shared.metrics.notice("limit");
@@ -97,15 +101,7 @@
         .rate_limits
         .record(key, limit_per_s, sent_at, now);
     if is_changed {
-        decision!(
-            shared,
-            DecisionKind::Notice,
-            target = target.id.as_str(),
-            notice = "limit",
-            from = "target",
-            limit_per_s = limit_per_s,
-            outcome = "recorded"
-        );
+        permit::apply_change(context, key, None);
     }
 }
 
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -75,16 +75,25 @@
     let engine = engine.unwrap_or_default();
     let now = shared.now();
     let mut fleet = shared.fleet();
-    let Fleet { catalog, owner, .. } = &mut *fleet;
+    let Fleet {
+        catalog,
+        owner,
+        rate_limits,
+        permits,
+        ..
+    } = &mut *fleet;
     if owner.take_ownership(&query.service, now) {
-        let engines = catalog.usable().filter(|(_, target)| {
-            target.service == query.service && target.stage == Some(Stage::Prefill)
+        // The query would be one more request to an engine that limits them.
+        let engines = catalog.usable().filter(|(key, target)| {
+            target.service == query.service
+                && target.stage == Some(Stage::Prefill)
+                && rate_limits.limit_per_s(*key).is_none()
         });
         for (key, target) in engines {
             query_cached_parts(context, key, target.clone(), engine);
         }
     }
-    owner.place(catalog, query, engine, now)
+    owner.place_within_limits(catalog, rate_limits, permits, query, engine, now)
 }
 
 /// Queries an engine for the prompt parts that it caches. A new owner does not have the cache state
@@ -175,6 +184,7 @@
         longest_wait,
         time_left: job.time_left(),
         zone: shared.config.zone.clone(),
+        rank: job.rank(),
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use crate::message::Message;
 use crate::notice;
 use crate::owner;
+use crate::permit;
 use crate::server::Context;
 use crate::state::wall_clock;
 
@@ -152,6 +153,17 @@
             shared.fleet().changes_stage(&target, stage, now);
         }
         Message::Leaving(runs) => return notice::merge_leaving(context, runs),
+        Message::RateLimits(reports) => {
+            permit::merge_reports(context, from, &reports);
+            let (fleet, now) = (shared.fleet(), shared.now());
+            let own = fleet.rate_limits.reports(&fleet.catalog, now);
+            return (!own.is_empty()).then_some(Message::RateLimits(own));
+        }
+        Message::AskPermit(query) => {
+            return Some(Message::Permit(permit::answer(context, from, &query)));
+        }
+        // The query timed out at this vm.
+        Message::Permit(_) => {}
         Message::PlacePrompt(query) => {
             return Some(Message::PromptPlaced(owner::place(context, &query)));
         }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -59,6 +59,7 @@
         longest_wait_ms = refusal.longest_wait.map(millis),
         targets_leaving = refusal.omitted_targets.leaving,
         targets_resting = refusal.omitted_targets.backing_off,
+        targets_limited = refusal.omitted_targets.limited,
         after_ms = millis(age)
     );
 }
@@ -104,6 +105,7 @@
         report_age_ms = placement.report.map(|(_, age)| millis(age)),
         targets_leaving = placement.omitted_targets.leaving,
         targets_resting = placement.omitted_targets.backing_off,
+        targets_limited = placement.omitted_targets.limited,
         after_ms = millis(job.arrived_at.elapsed())
     );
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,9 +6,9 @@
 
 use jujubebeam_core::authority::{Authority, AuthorityConfig, Holder};
 use jujubebeam_core::gateway::{
-    Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, GatewaySettings, Mirror,
-    PlacementConfig, Placer, PromptOwner, PromptRequestId, RateLimits, Stage, StartGate, TrueTime,
-    UnresponsiveOwners, UsageWindows,
+    Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, GatewaySettings, Mirror, PermitConfig,
+    Permits, PlacementConfig, Placer, PromptOwner, PromptRequestId, RateLimits, Stage, StartGate,
+    TrueTime, UnresponsiveOwners, UsageWindows,
 };
 use jujubebeam_core::membership::{Membership, MembershipConfig, Record};
 use jujubebeam_core::quarantine::{Quarantine, QuarantineConfig};
@@ -30,9 +30,31 @@
     pub(crate) owner: PromptOwner,
     /// Rate limits that targets have stated.
     pub(crate) rate_limits: RateLimits,
+    pub(crate) permits: Permits,
 }
 
 impl Fleet {
+    /// Tells the placers which targets limit their requests per second. An entry that reappeared has
+    /// lost this state.
+    pub(crate) fn apply_limits(&mut self) {
+        for key in self.rate_limits.known() {
+            let Some(stage) = self.catalog.get(key).map(|target| target.stage) else {
+                continue;
+            };
+            let is_limited = self.rate_limits.limit_per_s(key).is_some();
+            self.placer.set_limited(key, stage, is_limited);
+            self.owner.set_limited(key, stage, is_limited);
+        }
+    }
+
+    /// Omits a target until a permit for it is expected to be available.
+    pub(crate) fn hold(&mut self, target: &str, time: Duration, now: Duration) {
+        let found = self.catalog.key_of(target);
+        if let Some((key, target)) = found.and_then(|key| Some((key, self.catalog.get(key)?))) {
+            self.placer.hold(key, target.stage, time, now);
+        }
+    }
+
     /// Records that an engine was ordered to change its stage.
     pub(crate) fn changes_stage(&mut self, target: &str, stage: Stage, now: Duration) {
         if let Some(key) = self.catalog.key_of(target) {
@@ -129,6 +151,10 @@
             seed: incarnation.0 ^ u64::from(vm.0),
             ..PlacementConfig::default()
         };
+        let permits = PermitConfig {
+            seed: placement.seed,
+            ..PermitConfig::default()
+        };
         let budget = ArrivalBudgetConfig {
             window: Duration::from_millis(config.repeat_window_ms),
             ratio: config.repeat_ratio,
@@ -152,6 +178,7 @@
                 owner: PromptOwner::new(placement.clone()),
                 placer: Placer::new(placement),
                 rate_limits: RateLimits::default(),
+                permits: Permits::new(permits),
             }),
             unresponsive_owners: Mutex::default(),
             prompt_ends: PromptEnds::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -324,13 +324,9 @@
             if !forward::may_retry(&shared, &self.job, step) {
                 return Err("the stream may not be sent again".into());
             }
-            let in_flight = forward::place(
-                &self.context,
-                &self.job,
-                &self.job.incoming.prompt_parts,
-                &self.excluded,
-            )
-            .map_err(|refusal| refusal.reason.to_string())?;
+            let placed =
+                forward::place_continuation(&self.context, &self.job, &self.excluded).await;
+            let in_flight = placed.map_err(|refusal| refusal.reason.to_string())?;
             let key = in_flight.placement.key;
             let target = in_flight.placement.target.id.clone();
             let sent = timeout_at(
@@ -366,7 +362,7 @@
         if !forward::may_retry(&shared, &self.job, retry) {
             return false;
         }
-        let Some(in_flight) = backup::place(&shared, &self.job, backup) else {
+        let Some(in_flight) = backup::place(&self.context, &self.job, backup).await else {
             return false;
         };
         let target = in_flight.placement.target.id.clone();
--- a/crates/jujubebeam/src/cli/explain/log.rs
+++ b/crates/jujubebeam/src/cli/explain/log.rs
@@ -122,6 +122,8 @@
         "body_too_large" => "the body exceeds the limit of the settings",
         "slow_body" => "the body did not arrive in time or broke off",
         "no_target" => "no target of the service took new work; see the `targets` lines",
+        "targets_rest" => "all targets had requested backoff; see the `notice` lines",
+        "targets_limited" => "the rate limits of all targets were used up; see the `notice` lines",
         "overloaded" => "the predicted wait exceeded what the route's aim allows; nothing was sent",
         "crashes_targets" => "targets died under this request; the caller must change it",
         "targets_refused" => "the targets of the `attempt` lines refused it; it has not run",
