Add a soak of vm processes that meet limited targets

Four gateways as processes, callers at all of them, and servers that state 8 requests per second, while vms are paused, killed and stopped. Counted are the requests of vms that have heard of the limit and that no fault excuses.

A charge that was refused as not run never ran.

--- a/crates/jujubebeam/tests/gateway_soak/fleet.rs
+++ b/crates/jujubebeam/tests/gateway_soak/fleet.rs
@@ -5,8 +5,8 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use jujubebeam_gateway::ListenAddresses;
@@ -19,7 +19,7 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_jujubebeam");
 const VMS: usize = 4;
-const PLAIN_SERVERS: usize = 3;
+pub(crate) const PLAIN_SERVERS: usize = 3;
 const ENGINES: usize = 2;
 /// Events of a stream.
 pub(crate) const EVENTS: u64 = 15;
@@ -44,8 +44,10 @@
 pub(crate) struct Target {
     id: String,
     service: &'static str,
-    server: Server,
+    pub(crate) server: Server,
     pub(crate) link: Proxy,
+    /// Requests per second that the server states as its limit.
+    limit_per_s: Arc<Mutex<Option<f64>>>,
 }
 
 /// All processes and stand-ins.
@@ -204,7 +206,12 @@
     fn start(number: usize) -> Self {
         let id = format!("i-{number}");
         let own = id.clone();
-        let server = Server::start(move |seen| behave(&own, seen));
+        let limit_per_s = Arc::new(Mutex::new(None));
+        let stated = limit_per_s.clone();
+        let server = Server::start(move |seen| {
+            let limit = *stated.lock().expect("no test panicked");
+            state_limit(behave(&own, seen), limit)
+        });
         let link = Proxy::start(server.address());
         Self {
             id,
@@ -214,9 +221,15 @@
             },
             server,
             link,
+            limit_per_s,
         }
     }
 
+    /// Lets the server state a limit in its answers.
+    pub(crate) fn set_limit(&self, per_s: f64) {
+        *self.limit_per_s.lock().expect("no test panicked") = Some(per_s);
+    }
+
     /// Writes the server's entry, which names the proxy.
     pub(crate) fn register(&self, store: &Store, state: &str) {
         let entry = self.server.entry_at(self.service, self.link.address());
@@ -246,6 +259,14 @@
     hasher.finish().is_multiple_of(8)
 }
 
+/// Adds the limit that a server states to its answer.
+fn state_limit(mut steps: Vec<Step>, limit_per_s: Option<f64>) -> Vec<Step> {
+    if let (Some(Step::Send(head)), Some(per_s)) = (steps.first_mut(), limit_per_s) {
+        *head = head.replacen("\r\n", &format!("\r\nServer-Limit: {per_s}\r\n"), 1);
+    }
+    steps
+}
+
 fn behave(server: &str, seen: &Seen) -> Vec<Step> {
     let (id, path) = (seen.id(), seen.path());
     if is_refused(server, id) {
--- a/crates/jujubebeam/tests/gateway_soak/main.rs
+++ b/crates/jujubebeam/tests/gateway_soak/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod faults;
 mod fleet;
+mod limits;
 mod planned_stop;
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
@@ -23,6 +24,8 @@
 /// Seeds of a test run. Seeds that failed once are added with a line on the cause.
 const SEEDS: [u64; 2] = [1, 2];
 const DURATION: Duration = Duration::from_secs(4);
+/// Duration of a play with limits, which bind from 3 s on and are counted over 4 s.
+const LIMITED_DURATION: Duration = Duration::from_secs(16);
 const CALLERS: usize = 8;
 /// Callers of the vm that is told to stop.
 const STOP_CALLERS: usize = 12;
@@ -48,6 +51,26 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Guards against vms that together exceed the limit of a target while vms are killed, stopped, paused
+/// and started, among them the one that grants the permits.
+#[test]
+fn limits_of_targets_hold_under_random_faults() {
+    let seconds = std::env::var("JUJUBEBEAM_SOAK_SECONDS").ok();
+    let duration = seconds
+        .and_then(|text| text.parse().ok())
+        .map_or(LIMITED_DURATION, Duration::from_secs);
+    let broken: Vec<_> = seeds()
+        .into_iter()
+        .flat_map(|seed| {
+            let found = limits::play(seed, duration);
+            found
+                .into_iter()
+                .map(move |text| format!("seed {seed}: {text}"))
+        })
+        .collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 /// Guards against a vm that is killed at the end of its grace period because a stream lasts longer:
 /// on a slow vm, timers are 0.1 s late and the end of the process takes as long.
 #[test]
