Try every target without a limit before a request is refused for its permits

A request gave up after three targets without a permit, even if another target of the service had no limit. Found in review: while the owner does not reply, a refusal names no other targets, so with four limited targets and one free one a caller could be refused beside the free one.

Now targets without a permit are omitted for the request, which ends after one query per target at most. The tests of platform/tests pass: target_limits, target_notices, streams and prompt_owner.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -270,13 +270,12 @@
     reserved: &mut Option<TargetKey>,
 ) -> Result<EnginePlan, PlacementRefused> {
     let shared = &context.shared;
-    let request = job.placement_request(&shared.config.zone, &job.incoming.prompt_parts, excluded);
-    let answer = PlacementRequest {
-        parts: &[],
-        ..request.clone()
-    };
-    for _ in 0..permit::MAX_QUERIES {
+    let zone = &shared.config.zone;
+    // The given targets, and those without a permit.
+    let mut omitted: SmallVec<[TargetKey; 8]> = SmallVec::from_slice(excluded);
+    loop {
         let (plan, limited) = {
+            let request = job.placement_request(zone, &job.incoming.prompt_parts, excluded);
             let (fleet, now) = (shared.fleet(), shared.now());
             let Fleet {
                 catalog, placer, ..
@@ -285,17 +284,27 @@
                 return placer.plan_permitted_request(catalog, &request, now);
             }
             let plan = placer.plan_engine_request(catalog, &request, now)?;
+            let answer = PlacementRequest {
+                parts: &[],
+                excluded: &omitted,
+                ..request
+            };
             (plan, placer.only_limited(catalog, &answer, now))
         };
-        let Some(key) = limited.filter(|_| matches!(plan, EnginePlan::Split { .. })) else {
-            return Ok(plan);
+        let is_refused = omitted.len() > excluded.len();
+        let key = match (plan, limited) {
+            (EnginePlan::Split { .. }, Some(key)) => key,
+            (EnginePlan::Split { .. }, None) if is_refused => {
+                return Err(no_permit(shared, job));
+            }
+            _ => return Ok(plan),
         };
         if acquire_permit(context, job, key, false).await {
             *reserved = Some(key);
             return Ok(plan);
         }
+        omitted.push(key);
     }
-    Err(no_permit(shared, job, excluded))
 }
 
 /// Chooses a prefill engine from the local state of this vm alone.
@@ -323,23 +332,35 @@
     is_continuation: bool,
 ) -> Result<InFlight, PlacementRefused> {
     let shared = &context.shared;
-    for _ in 0..permit::MAX_QUERIES {
-        let placement = {
+    // The targets that the request excludes, and those without a permit.
+    let mut omitted: SmallVec<[TargetKey; 8]> = SmallVec::from_slice(request.excluded);
+    loop {
+        let placed = {
+            let request = PlacementRequest {
+                excluded: &omitted,
+                ..request.clone()
+            };
             let (mut fleet, now) = (shared.fleet(), shared.now());
             let Fleet {
                 catalog, placer, ..
             } = &mut *fleet;
             match is_continuation {
-                true => placer.place_continuation(catalog, request, now),
-                false => placer.place(catalog, request, now),
+                true => placer.place_continuation(catalog, &request, now),
+                false => placer.place(catalog, &request, now),
             }
         };
-        let in_flight = InFlight::new(shared, placement?);
-        if acquire_permit(context, job, in_flight.placement.key, is_continuation).await {
+        let is_refused = omitted.len() > request.excluded.len();
+        let placement = match placed {
+            Err(PlacementRefused::NoTarget) if is_refused => return Err(no_permit(shared, job)),
+            placed => placed?,
+        };
+        let in_flight = InFlight::new(shared, placement);
+        let key = in_flight.placement.key;
+        if acquire_permit(context, job, key, is_continuation).await {
             return Ok(in_flight);
         }
+        omitted.push(key);
     }
-    Err(no_permit(shared, job, request.excluded))
 }
 
 /// Obtains a permit for a request, which targets without a limit do not need.
@@ -357,8 +378,8 @@
 }
 
 /// Refusal of a request because other requests took the permits that were expected for it.
-fn no_permit(shared: &Shared, job: &Job, excluded: &[TargetKey]) -> PlacementRefused {
-    let request = job.placement_request(&shared.config.zone, &[], excluded);
+fn no_permit(shared: &Shared, job: &Job) -> PlacementRefused {
+    let request = job.placement_request(&shared.config.zone, &[], &[]);
     let retry_after = shared.fleet().placer.retry_after(&request, Duration::ZERO);
     PlacementRefused::Limited { retry_after }
 }
@@ -384,7 +405,7 @@
         record_placement(shared, job, work_name(job, parts), &placement);
         return Ok(InFlight::new(shared, placement));
     }
-    place(context, job, parts, excluded).await
+    place(context, job, parts, excluded, false).await
 }
 
 /// Chooses a target for the next attempt.
@@ -393,10 +414,11 @@
     job: &Job,
     parts: &[PromptPart],
     excluded: &[TargetKey],
+    is_continuation: bool,
 ) -> Result<InFlight, Refusal> {
     let shared = &context.shared;
     let request = job.placement_request(&shared.config.zone, parts, excluded);
-    let placed = place_permitted(context, job, &request, false).await;
+    let placed = place_permitted(context, job, &request, is_continuation).await;
     let in_flight = placed.map_err(|refused| placement_refusal(shared, refused, job))?;
     record_placement(shared, job, work_name(job, parts), &in_flight.placement);
     Ok(in_flight)
@@ -408,13 +430,7 @@
     job: &Job,
     excluded: &[TargetKey],
 ) -> Result<InFlight, Refusal> {
-    let shared = &context.shared;
-    let parts = &job.incoming.prompt_parts;
-    let request = job.placement_request(&shared.config.zone, parts, excluded);
-    let placed = place_permitted(context, job, &request, true).await;
-    let in_flight = placed.map_err(|refused| placement_refusal(shared, refused, job))?;
-    record_placement(shared, job, work_name(job, parts), &in_flight.placement);
-    Ok(in_flight)
+    place(context, job, &job.incoming.prompt_parts, excluded, true).await
 }
 
 /// Name of the work of a placement, for the log.
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -10,15 +10,15 @@
 use ntex::time::{Millis, timeout};
 
 use crate::adapters::Adapters;
-use crate::decision_log::{DecisionKind, decision};
+use crate::decision_log::{DecisionKind, decision, millis};
 use crate::message::Message;
 use crate::peers;
 use crate::server::Context;
 use crate::state::{Fleet, Shared};
 
-/// Maximum number of queries for one request. A refusal names all targets without permits, so the
-/// next query fails only if other requests were faster.
-pub(crate) const MAX_QUERIES: usize = 3;
+/// Time for which a target is omitted after this vm's share of its limit is used up. The owner may
+/// reply again by then.
+const SHARE_RETRY: Duration = Duration::from_millis(200);
 
 /// Obtains a permit to send a request to a target of a service. A target without a limit needs none.
 /// If none is available, the target is omitted from placement until one is expected.
@@ -131,10 +131,6 @@
     is_granted
 }
 
-/// Time for which a target is omitted after this vm's share of its limit is used up. The owner may
-/// reply again by then.
-const SHARE_RETRY: Duration = Duration::from_millis(200);
-
 fn owner_of_service(shared: &Shared, service: &str) -> Option<VmId> {
     let now = shared.now();
     let vms = shared.membership().coordinator_candidates(now);
@@ -189,7 +185,7 @@
         notice = "limit",
         from = if from.is_some() { "vm" } else { "target" },
         limit_per_s = report.limit_per_s,
-        age_ms = crate::decision_log::millis(report.age),
+        age_ms = millis(report.age),
         outcome = "in_force"
     );
     let message = Message::RateLimits(vec![report]);
