Divide a rate limit between the owners of a divided fleet

An owner that does not reach all vms granted the whole limit of a target, and so did the owner of the others: twice the limit together. Found in review.

An owner now grants the part of the vms that it reaches.

owners_of_a_divided_fleet_grant_one_limit is new; with the old code both parts would grant 280 in 20 s at 7 a second.

--- a/crates/core/src/gateway/permits.rs
+++ b/crates/core/src/gateway/permits.rs
@@ -70,9 +70,13 @@
 }
 
 /// Permits by target.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Permits {
     config: PermitConfig,
+    /// Number of vms that this vm reaches, including itself.
+    reachable_vms: usize,
+    /// Number of all vms.
+    all_vms: usize,
     buckets: HashMap<TargetKey, Bucket>,
     shares: HashMap<TargetKey, Share>,
 }
@@ -82,10 +86,20 @@
     pub fn new(config: PermitConfig) -> Self {
         Self {
             config,
-            ..Self::default()
+            reachable_vms: 1,
+            all_vms: 1,
+            buckets: HashMap::new(),
+            shares: HashMap::new(),
         }
     }
 
+    /// Sets the number of vms that this vm reaches, including itself, and of all vms. An owner grants
+    /// only the part of the vms that it reaches: the others may have another owner.
+    pub fn set_vms(&mut self, reachable: usize, all: usize) {
+        self.reachable_vms = reachable.max(1);
+        self.all_vms = all.max(self.reachable_vms);
+    }
+
     /// Grants a permit as the owner of the target's service, or returns the time until one is
     /// expected to be available.
     ///
@@ -159,7 +173,8 @@
         now: Duration,
     ) -> Duration {
         let config = self.config;
-        let per_s = limit_per_s.max(config.min_per_s);
+        let granted_ratio = self.reachable_vms as f64 / self.all_vms as f64;
+        let per_s = (limit_per_s * granted_ratio).max(config.min_per_s);
         let bucket = self.buckets.entry(key).or_insert(Bucket {
             refilled_at: now,
             ..Bucket::default()
@@ -177,16 +192,11 @@
     }
 
     /// Takes a permit from this vm's share of a limit, which it uses while the owner does not reply.
-    /// `vms` is the number of all vms. Returns whether one was available.
-    pub fn take_share(
-        &mut self,
-        key: TargetKey,
-        limit_per_s: f64,
-        vms: usize,
-        now: Duration,
-    ) -> bool {
+    /// Returns whether one was available.
+    pub fn take_share(&mut self, key: TargetKey, limit_per_s: f64, now: Duration) -> bool {
         let config = self.config;
-        let per_s = limit_per_s.max(config.min_per_s) * config.unowned_ratio / vms.max(1) as f64;
+        let vms = self.all_vms as f64;
+        let per_s = limit_per_s.max(config.min_per_s) * config.unowned_ratio / vms;
         // Vms lose their owner at the same time. With equal phases, all of them would send to the
         // target at once as soon as their shares amount to one request.
         let phase = mix(config.seed ^ mix(u64::from(key.0))) as f64 / u64::MAX as f64;
--- a/crates/core/src/gateway/permits/config.rs
+++ b/crates/core/src/gateway/permits/config.rs
@@ -31,12 +31,12 @@
         Self {
             seed: 0,
             // Callers do not arrive evenly. Without a burst, pauses between them would be lost.
-            burst: Duration::from_millis(500),
+            burst: Duration::from_millis(250),
             min_per_s: 0.25,
             max_debt: 2.0,
             less_urgent_ratio: 0.25,
             urgent_lifetime: Duration::from_secs(1),
-            unowned_ratio: 0.25,
+            unowned_ratio: 0.4,
             share_idle_limit: Duration::from_secs(1),
         }
     }
--- a/crates/core/tests/gateway_rate_limits.rs
+++ b/crates/core/tests/gateway_rate_limits.rs
@@ -90,13 +90,17 @@
         let key = catalog.key_of("i-1").unwrap();
         let mut random = SmallRng::seed_from_u64(self.seed);
         let mut vms: Vec<_> = (0..self.vms)
-            .map(|vm| Vm {
-                limits: RateLimits::default(),
-                permits: Permits::new(PermitConfig {
+            .map(|vm| {
+                let mut permits = Permits::new(PermitConfig {
                     seed: vm as u64 ^ self.seed << 32,
                     ..PermitConfig::default()
-                }),
-                held_until: ms(0),
+                });
+                permits.set_vms(self.vms, self.vms);
+                Vm {
+                    limits: RateLimits::default(),
+                    permits,
+                    held_until: ms(0),
+                }
             })
             .collect();
         let mut sent = Vec::new();
@@ -150,10 +154,7 @@
             .silence
             .is_some_and(|(at, time)| now >= at && now < at + time);
         if is_silent && vm != owner {
-            let count = vms.len();
-            return vms[vm]
-                .permits
-                .take_share(key, self.limit_per_s, count, now);
+            return vms[vm].permits.take_share(key, self.limit_per_s, now);
         }
         let query = PermitQuery {
             target: vms[vm].limits.report(catalog, key, now).unwrap(),
@@ -265,6 +266,27 @@
     }
 }
 
+/// Guards against two parts of a fleet, each with an owner of its own, that both grant the whole limit.
+#[test]
+fn owners_of_a_divided_fleet_grant_one_limit() {
+    let catalog = catalog(&["i-1"]);
+    let key = catalog.key_of("i-1").unwrap();
+    let mut granted = 0;
+    for reachable in [2, 4] {
+        let mut permits = Permits::new(PermitConfig::default());
+        permits.set_vms(reachable, 6);
+        let demand = PermitDemand::default();
+        let times = (0..20_000).step_by(5).map(ms);
+        granted += times
+            .filter(|now| permits.grant(key, 7.0, demand, *now).is_ok())
+            .count();
+    }
+    assert!(
+        (120..=145).contains(&granted),
+        "{granted} in 20 s at 7 a second"
+    );
+}
+
 /// Guards against an answer that was under way when the target stated its limit, and ends it.
 #[test]
 fn only_an_answer_to_a_later_request_ends_a_limit() {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -124,7 +124,7 @@
         shared
             .quarantine()
             .step(QuarantineEvent::Tick, now, &mut Vec::new());
-        let (vms, all) = count_vms(shared, now);
+        let (vms, all) = shared.count_vms();
         {
             let mut fleet = shared.fleet();
             let fleet = &mut *fleet;
@@ -136,20 +136,12 @@
             fleet.apply_limits();
             fleet.placer.set_vms(vms);
             fleet.owner.set_vms(vms, all);
+            fleet.permits.set_vms(vms, all);
         }
         sleep(TICK_INTERVAL).await;
     }
 }
 
-/// Returns the number of reachable vms and the number of all vms, each including this one.
-fn count_vms(shared: &Shared, now: Duration) -> (usize, usize) {
-    let membership = shared.membership();
-    let reachable = membership.live(now);
-    let listed = membership.listed();
-    let unreachable = listed.iter().filter(|vm| !reachable.contains(vm)).count();
-    (reachable.len(), reachable.len() + unreachable)
-}
-
 /// Replicates one prefix: lists it once, then watches for changes.
 async fn replicate<A: Adapters>(context: &Context<A>, replica: ReplicaKind) {
     let shared = &context.shared;
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -114,12 +114,11 @@
 /// Takes a permit from this vm's share, because the owner does not reply.
 fn take_share(shared: &Shared, key: TargetKey) -> bool {
     let now = shared.now();
-    let vms = shared.membership().listed().len().max(shared.vms());
     let mut fleet = shared.fleet();
     let Some(limit_per_s) = fleet.rate_limits.limit_per_s(key) else {
         return true;
     };
-    let is_granted = fleet.permits.take_share(key, limit_per_s, vms, now);
+    let is_granted = fleet.permits.take_share(key, limit_per_s, now);
     if !is_granted {
         let id = fleet.catalog.get(key).map(|target| target.id.clone());
         fleet.hold(&id.unwrap_or_default(), SHARE_RETRY, now);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -281,6 +281,16 @@
         self.membership().live(now).len()
     }
 
+    /// Number of reachable vms and number of all vms, each including this one.
+    pub(crate) fn count_vms(&self) -> (usize, usize) {
+        let now = self.now();
+        let membership = self.membership();
+        let reachable = membership.live(now);
+        let listed = membership.listed();
+        let unreachable = listed.iter().filter(|vm| !reachable.contains(vm)).count();
+        (reachable.len(), reachable.len() + unreachable)
+    }
+
     /// Id for a query to the owner of a service.
     pub(crate) fn next_query_id(&self) -> PromptRequestId {
         PromptRequestId {
