Leave the retry allowance of unreachable vms to them

Targets got more repeats than all vms together may send when a vm did not reach the others: it divided the fleet's allowance by the vms that it reached, so each part of a divided fleet spent all of it.

a_vm_leaves_the_allowance_of_unreachable_vms fails without the change: 40 extra arrivals of 40 requests, where the share of one of ten vms is 13. Now the allowance is divided by all vms that the store lists.

The limit of connections to a target is divided by reachable vms on purpose: targets enforce it themselves, and vms that remain alone need more of it.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -203,7 +203,8 @@
 pub(crate) fn may_retry(shared: &Shared, job: &Job, step: NextStep) -> bool {
     match step {
         NextStep::Retry { uses_budget: true } => {
-            let vms = shared.vms();
+            // Vms that this one does not reach spend their shares too.
+            let (_, vms) = shared.count_vms();
             shared.budget().take(&job.service, vms, shared.now())
         }
         NextStep::Retry { uses_budget: false } => true,
