Announce a rate limit at once only if it has changed by a tenth

A target that states another limit with each answer would cause a message to every vm each time. Found in review.

a_slight_change_of_a_limit_is_not_announced fails without the change, as the statement of 7.3 after 7.0 would be announced. The other tests of gateway_rate_limits pass.

--- a/crates/core/src/gateway/rate_limits.rs
+++ b/crates/core/src/gateway/rate_limits.rs
@@ -20,6 +20,10 @@
 /// transmission time with each hop and must not replace the statement that it repeats.
 const REPORT_MARGIN: Duration = Duration::from_millis(250);
 
+/// Largest relative difference at which a limit counts as unchanged, so that a target that adjusts its
+/// limit with each answer does not cause a message to every vm each time.
+const MAX_SILENT_CHANGE: f64 = 0.1;
+
 /// Time for which the statement of a removed target is kept. Its entry may only have expired, and the
 /// same run may reappear.
 const REMOVED_LIFETIME: Duration = Duration::from_secs(60);
@@ -54,7 +58,7 @@
 impl RateLimits {
     /// Records whether an answer states a limit. `sent_at` is when its request was sent: an answer
     /// without a limit ends one only if the target got the request after it had stated the limit.
-    /// Returns whether the limit has changed.
+    /// Returns whether the limit has changed by so much that other vms are to be told at once.
     pub fn record(
         &mut self,
         key: TargetKey,
@@ -96,7 +100,10 @@
 
     fn insert(&mut self, key: TargetKey, per_s: Option<f64>, at: Duration) -> bool {
         let known = self.statements.insert(key, Statement { per_s, at });
-        known.and_then(|known| known.per_s) != per_s
+        match (known.and_then(|known| known.per_s), per_s) {
+            (Some(old), Some(new)) => (new - old).abs() > old * MAX_SILENT_CHANGE,
+            (old, new) => old != new,
+        }
     }
 
     /// Requests per second that a target accepts from all vms together, or `None` if it states no
--- a/crates/core/tests/gateway_rate_limits.rs
+++ b/crates/core/tests/gateway_rate_limits.rs
@@ -302,6 +302,20 @@
     assert_eq!(limits.limit_per_s(key), None);
 }
 
+/// Guards against a message to every vm with each answer of a target that adjusts its limit.
+#[test]
+fn a_slight_change_of_a_limit_is_not_announced() {
+    let catalog = catalog(&["i-1"]);
+    let key = catalog.key_of("i-1").unwrap();
+    let mut limits = RateLimits::default();
+    assert!(limits.record(key, Some(7.0), ms(0), ms(10)));
+    assert!(!limits.record(key, Some(7.3), ms(20), ms(30)));
+    assert_eq!(limits.limit_per_s(key), Some(7.3));
+    assert!(limits.record(key, Some(5.0), ms(40), ms(50)));
+    assert!(limits.record(key, Some(0.0), ms(60), ms(70)));
+    assert!(limits.record(key, Some(0.5), ms(80), ms(90)));
+}
+
 /// Guards against a report that returns to its origin and revives a limit which has ended, and against
 /// vms that never hear of the end.
 #[test]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -17,7 +17,7 @@
 use crate::owner;
 use crate::peers;
 use crate::server::Context;
-use crate::state::{Shared, vm_id_of, wall_clock};
+use crate::state::{vm_id_of, wall_clock};
 
 /// Interval between ticks of the state machines.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -188,19 +188,19 @@
         outcome = "in_force"
     );
     let message = Message::RateLimits(vec![report]);
-    match owner_of_service(shared, &service) {
-        Some(owner) if owner == shared.vm => {
-            for vm in peers::reachable_peers(context) {
-                if Some(vm) != from {
-                    peers::send(context, vm, vec![message.clone()]);
-                }
-            }
-        }
-        // The owner has announced it already.
-        Some(owner) if Some(owner) == from => {}
-        Some(owner) if from.is_none() => {
+    let Some(owner) = owner_of_service(shared, &service) else {
+        return;
+    };
+    if owner != shared.vm {
+        // What another vm has reported is announced by the owner.
+        if from.is_none() {
             peers::send(context, owner, vec![message]);
         }
-        _ => {}
+        return;
+    }
+    for vm in peers::reachable_peers(context) {
+        if Some(vm) != from {
+            peers::send(context, vm, vec![message.clone()]);
+        }
     }
 }
