Send rate limits to other vms only if there are any

Every query for updates carried a list of rate limits, which vms of an earlier version cannot decode: during a rolling restart they would have rejected all queries of restarted vms. Found in review.

A vm that has just started gets the limits with the queries of others.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -381,15 +381,18 @@
         let own_zone = peers::in_own_zone(context, &reachable_peers);
         if let Some(to) = selector.next(&reachable_peers, &own_zone) {
             let mut messages = vec![delta_request(context)];
-            // Empty lists are sent too, because they let a vm that has just started get the leaving
-            // and limited targets from the reply.
+            // An empty list of leaving targets is sent too, because it lets a vm that has just started
+            // get them from the reply.
             let (leaving, rate_limits) = {
                 let (fleet, now) = (shared.fleet(), shared.now());
                 let rate_limits = fleet.rate_limits.reports(&fleet.catalog, now);
                 (fleet.catalog.leaving_runs(), rate_limits)
             };
             messages.push(Message::Leaving(leaving));
-            messages.push(Message::RateLimits(rate_limits));
+            // Vms of an earlier version reject exchanges with messages that they do not know.
+            if !rate_limits.is_empty() {
+                messages.push(Message::RateLimits(rate_limits));
+            }
             sends_counts = !sends_counts;
             if sends_counts {
                 let newest = shared.usage().windows.own_newest(REPLICATED_WINDOWS);
