--- a/crates/jujubebeam/tests/gateway_soak/fleet.rs
+++ b/crates/jujubebeam/tests/gateway_soak/fleet.rs
@@ -14,7 +14,7 @@
 
 use super::support::{
     Proxy, Seen, Server, Step, Store, answer, end_of_events, events, is_ready, not_executed,
-    wait_for,
+    stating_limit, wait_for,
 };
 
 const BINARY: &str = env!("CARGO_BIN_EXE_jujubebeam");
@@ -210,7 +210,10 @@
         let stated = limit_per_s.clone();
         let server = Server::start(move |seen| {
             let limit = *stated.lock().expect("no test panicked");
-            state_limit(behave(&own, seen), limit)
+            match limit {
+                Some(per_s) => stating_limit(behave(&own, seen), per_s),
+                None => behave(&own, seen),
+            }
         });
         let link = Proxy::start(server.address());
         Self {
@@ -259,14 +262,6 @@
     hasher.finish().is_multiple_of(8)
 }
 
-/// Adds the limit that a server states to its answer.
-fn state_limit(mut steps: Vec<Step>, limit_per_s: Option<f64>) -> Vec<Step> {
-    if let (Some(Step::Send(head)), Some(per_s)) = (steps.first_mut(), limit_per_s) {
-        *head = head.replacen("\r\n", &format!("\r\nServer-Limit: {per_s}\r\n"), 1);
-    }
-    steps
-}
-
 fn behave(server: &str, seen: &Seen) -> Vec<Step> {
     let (id, path) = (seen.id(), seen.path());
     if is_refused(server, id) {
