End a rate limit at all vms when it ends soon after its last statement

Callers would be refused for a limit that a target no longer states: the end that one vm had heard was ignored by vms that had heard the limit less than 0.25 s before it, as the end must be newer by that margin and was not stated again. Vms that send to the target hear the end themselves; an owner that places the prompts of others may not.

The margin keeps a report that travels from reviving a limit, so it is needed for limits only.

--- a/crates/core/src/gateway/rate_limits.rs
+++ b/crates/core/src/gateway/rate_limits.rs
@@ -16,8 +16,8 @@
 /// hundreds within a few seconds.
 const END_REPORT_LIFETIME: Duration = Duration::from_secs(10);
 
-/// Minimum time by which a reported statement must be newer than the known one. A report ages by its
-/// transmission time with each hop and must not replace the statement that it repeats.
+/// Minimum time by which a reported limit must be newer than the known statement. A report seems newer
+/// by its transmission time with each hop and must not revive a limit that has ended.
 const REPORT_MARGIN: Duration = Duration::from_millis(250);
 
 /// Largest relative difference at which a limit counts as unchanged, so that a target that adjusts its
@@ -88,7 +88,12 @@
             };
             let at = now.saturating_sub(report.age);
             let known = self.statements.get(&key);
-            if known.is_some_and(|known| at <= known.at + REPORT_MARGIN) {
+            // The end of a limit may follow the last statement closely.
+            let margin = match report.limit_per_s {
+                Some(_) => REPORT_MARGIN,
+                None => Duration::ZERO,
+            };
+            if known.is_some_and(|known| at <= known.at + margin) {
                 continue;
             }
             if self.insert(key, report.limit_per_s, at) {
--- a/crates/core/tests/gateway_rate_limits.rs
+++ b/crates/core/tests/gateway_rate_limits.rs
@@ -335,6 +335,21 @@
     assert_eq!(second.limit_per_s(key), None);
 }
 
+/// Guards against vms that keep a limit which ended shortly after another vm had passed it on. They may
+/// send nothing to the target themselves, such as the owner that places the prompts of others.
+#[test]
+fn a_limit_that_ends_soon_after_its_last_statement_ends_at_all_vms() {
+    let catalog = catalog(&["i-1"]);
+    let key = catalog.key_of("i-1").unwrap();
+    let (mut first, mut second) = (RateLimits::default(), RateLimits::default());
+    first.record(key, Some(7.0), ms(0), ms(100));
+    second.record(key, Some(7.0), ms(900), ms(1000));
+    first.record(key, None, ms(1050), ms(1100));
+    let reports = first.reports(&catalog, ms(1500));
+    assert_eq!(second.merge(&catalog, &reports, ms(1510)), [key]);
+    assert_eq!(second.limit_per_s(key), None);
+}
+
 /// Guards against a limit that passes to another run under the same id and address, and against one
 /// that is lost while the entry of its run has expired.
 #[test]
