--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod peers;
 mod permit;
 mod prompt;
+mod replication;
 mod request_log;
 mod server;
 mod state;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,6 +16,7 @@
 use crate::notice;
 use crate::owner;
 use crate::permit;
+use crate::replication;
 use crate::server::Context;
 use crate::state::wall_clock;
 
@@ -141,7 +142,7 @@
             let wall = std::time::Duration::from_micros(wall_us);
             let now = shared.now();
             shared.usage().true_time.record_peer_clock(from, wall, now);
-            control::merge_deltas(context, settings, targets);
+            replication::merge_deltas(context, settings, targets);
             shared.compared_with(from);
         }
         Message::Collect { window } => {
