Log the age of the replicas and each target that stops accepting work

A late request to a leaving target could not be traced: the log told which revision a vm had, not when it was last current, from whom it came, or when a target was removed.

Vms now send the age of their replicas with every update (fields that earlier versions ignore and omit). The lines of targets and settings have the source, target_change lines name each target that drains, is missing or is removed, and placed lines have the age of the list. No decision depends on the age yet.

--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -1,5 +1,6 @@
 //! Existing targets, according to their entries in the store.
 
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -53,6 +54,20 @@
     Draining,
 }
 
+/// Change of a target after which it gets no new work, or none soon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum TargetChange {
+    /// Its entry shows that it drains.
+    Draining,
+    /// Its entry is gone, and it is kept for the hold time.
+    Missing,
+    /// It was removed.
+    Removed,
+    /// Its entry describes another run.
+    Replaced,
+}
+
 /// One target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CatalogTarget {
@@ -104,8 +119,15 @@
 
 impl Catalog {
     /// Replaces the entries. A missing target is removed after `hold`, which is zero unless the
-    /// store has just recovered from an outage in which entries may have expired.
-    pub fn update(&mut self, entries: Vec<CatalogTarget>, hold: Duration, now: Duration) {
+    /// store has just recovered from an outage in which entries may have expired. Returns the
+    /// targets that stop accepting work.
+    pub fn update(
+        &mut self,
+        entries: Vec<CatalogTarget>,
+        hold: Duration,
+        now: Duration,
+    ) -> Vec<(String, TargetChange)> {
+        let mut changes = Vec::new();
         let mut seen = std::collections::HashSet::new();
         for entry in entries {
             let known = self.by_id.get(&entry.id).copied();
@@ -119,6 +141,11 @@
             if let Some(old) = known.filter(|old| *old != key) {
                 self.targets.remove(&old);
                 self.leaving_keys.remove(&old);
+                changes.push((entry.id.clone(), TargetChange::Replaced));
+            }
+            let previous = self.targets.get(&key).map(|target| target.phase);
+            if previous == Some(TargetPhase::Ready) && entry.phase == TargetPhase::Draining {
+                changes.push((entry.id.clone(), TargetChange::Draining));
             }
             self.by_id.insert(entry.id.clone(), key);
             self.missing.remove(&key);
@@ -130,13 +157,18 @@
         }
         let missing: Vec<_> = self.targets.keys().copied().collect();
         for key in missing.into_iter().filter(|key| !seen.contains(key)) {
-            self.missing.entry(key).or_insert(now + hold);
+            if let Entry::Vacant(unseen) = self.missing.entry(key) {
+                unseen.insert(now + hold);
+                changes.push((self.targets[&key].id.clone(), TargetChange::Missing));
+            }
         }
-        self.remove_expired(now);
+        changes.extend(self.remove_expired(now));
+        changes
     }
 
-    /// Removes targets whose entries have been missing for the hold time.
-    pub fn remove_expired(&mut self, now: Duration) {
+    /// Removes targets whose entries have been missing for the hold time, and returns them.
+    pub fn remove_expired(&mut self, now: Duration) -> Vec<(String, TargetChange)> {
+        let mut changes = Vec::new();
         let removed: Vec<_> = self
             .missing
             .iter()
@@ -157,7 +189,9 @@
                 self.removed.pop_front();
             }
             self.removed.push_back((TargetRun::of(&target), key));
+            changes.push((target.id, TargetChange::Removed));
         }
+        changes
     }
 
     /// A target by key, unless it has been removed.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -51,6 +51,9 @@
     /// Time for which a missing target is kept after an outage of the store has ended.
     #[serde(default = "default_reappear_ms")]
     pub reappear_ms: u64,
+    /// Replication of the store.
+    #[serde(default)]
+    pub replication: ReplicationConfig,
     /// Share of a service's engines that compute prompts.
     #[serde(default = "default_prefill_part")]
     pub prefill_part: f64,
@@ -69,6 +72,30 @@
     pub log_level: String,
 }
 
+/// Replication of the store on all vms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ReplicationConfig {
+    /// Interval in which targets write their entries. An entry expires after three of them, so a
+    /// store that is unavailable for less than two expires no entry of a running target.
+    pub target_heartbeat_ms: u64,
+}
+
+impl Default for ReplicationConfig {
+    fn default() -> Self {
+        Self {
+            target_heartbeat_ms: 1200,
+        }
+    }
+}
+
+impl ReplicationConfig {
+    /// Longest time without reading the store after which no entry of a running target has expired.
+    pub(crate) fn max_gap(&self) -> Duration {
+        Duration::from_millis(self.target_heartbeat_ms * 2)
+    }
+}
+
 /// Gaps in a stream after which its caller has disconnected: the longest of the first three.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -13,7 +13,7 @@
 use crate::duties;
 use crate::owner;
 use crate::peers;
-use crate::replication::{self, ReplicaKind};
+use crate::replication::{self, ReplicaKind, Source};
 use crate::server::Context;
 use crate::state::{vm_id_of, wall_clock};
 
@@ -91,7 +91,8 @@
         {
             let mut fleet = shared.fleet();
             let fleet = &mut *fleet;
-            fleet.catalog.remove_expired(now);
+            let removed = fleet.catalog.remove_expired(now);
+            replication::record_changes(shared, removed, Source::Expiry);
             fleet.placer.evict_removed(&fleet.catalog, now);
             fleet.owner.evict_expired(&fleet.catalog, now);
             fleet.rate_limits.evict_removed(&fleet.catalog, now);
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -34,6 +34,8 @@
     Settings,
     /// The list of targets was updated.
     Targets,
+    /// A target stopped accepting work, or will soon.
+    TargetChange,
     /// A target sent a notice about itself.
     Notice,
     /// An engine was queried for the prompt parts that it caches.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,6 @@
     Incoming, OrderAnswer, Outgoing, OutgoingHeaders, RateLimitNotice, StoreApi, StoredSettings,
     TargetNotice, WatchReply, Wire, Work,
 };
-pub use config::{GatewayConfig, GatewayDuty, ListenAddresses, StreamGaps};
+pub use config::{GatewayConfig, GatewayDuty, ListenAddresses, ReplicationConfig, StreamGaps};
 pub use decision_log::write_json;
 pub use server::run;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -2,7 +2,7 @@
 
 use jujubebeam_core::gateway::{
     MirrorDelta, PermitQuery, PermitReply, PromptEnd, PromptPlacementReply, PromptPlacementRequest,
-    RateLimitReport, RunCounts, Stage, TargetRun,
+    RateLimitReport, ReplicaAge, RunCounts, Stage, TargetRun,
 };
 use jujubebeam_core::quarantine::QuarantineMessage;
 use jujubebeam_core::{Revision, membership};
@@ -28,6 +28,12 @@
         settings: Option<MirrorDelta>,
         /// Changes of the targets.
         targets: Option<MirrorDelta>,
+        /// Age of the sender's replica of the settings. Earlier versions send none.
+        #[serde(default)]
+        settings_age: Option<ReplicaAge>,
+        /// Age of the sender's replica of the targets. Earlier versions send none.
+        #[serde(default)]
+        targets_age: Option<ReplicaAge>,
     },
     /// Queries for the usage counts of a window.
     Collect {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,7 @@
 //! Exchange of messages with other vms.
 
+use std::time::Duration;
+
 use jujubebeam_core::gateway::RunCounts;
 use jujubebeam_core::membership::{Command, Event};
 use jujubebeam_core::quarantine::QuarantineEvent;
@@ -16,7 +18,7 @@
 use crate::notice;
 use crate::owner;
 use crate::permit;
-use crate::replication;
+use crate::replication::{self, ReplicaKind};
 use crate::server::Context;
 use crate::state::wall_clock;
 
@@ -29,8 +31,9 @@
 ) -> JoinHandle<()> {
     let context = context.clone();
     ntex::rt::spawn(async move {
+        let sent_at = context.shared.now();
         for message in exchange(&context, to, messages).await.unwrap_or_default() {
-            deliver(&context, to, message);
+            deliver(&context, to, message, sent_at);
         }
     })
 }
@@ -100,10 +103,11 @@
             return HttpResponse::BadRequest().finish();
         }
     };
+    let received_at = context.shared.now();
     let messages = envelope
         .messages
         .into_iter()
-        .filter_map(|message| deliver(&context, envelope.from, message))
+        .filter_map(|message| deliver(&context, envelope.from, message, received_at))
         .collect();
     let answer = Envelope {
         from: context.shared.vm,
@@ -121,28 +125,52 @@
     }
 }
 
-/// Handles a message. A returned message is sent back in the same exchange.
-fn deliver<A: Adapters>(context: &Context<A>, from: VmId, message: Message) -> Option<Message> {
+/// Handles a message of an exchange that began at `began_at`. A returned message is sent back in the
+/// same exchange.
+fn deliver<A: Adapters>(
+    context: &Context<A>,
+    from: VmId,
+    message: Message,
+    began_at: Duration,
+) -> Option<Message> {
     let shared = &context.shared;
     match message {
         Message::Membership(message) => feed_membership(context, Event::Peer { from, message }),
         Message::Ask { settings, targets } => {
-            let mirrors = shared.mirrors();
+            let now = shared.now();
+            let replicas = shared.replicas();
             return Some(Message::News {
                 wall_us: wall_clock().as_micros() as u64,
-                settings: mirrors.settings.delta(settings),
-                targets: mirrors.targets.delta(targets),
+                settings: replicas.settings.mirror.delta(settings),
+                targets: replicas.targets.mirror.delta(targets),
+                settings_age: replicas.settings.freshness.report(now),
+                targets_age: replicas.targets.freshness.report(now),
             });
         }
         Message::News {
             wall_us,
             settings,
             targets,
+            settings_age,
+            targets_age,
         } => {
-            let wall = std::time::Duration::from_micros(wall_us);
+            let wall = Duration::from_micros(wall_us);
             let now = shared.now();
             shared.usage().true_time.record_peer_clock(from, wall, now);
-            replication::merge_deltas(context, settings, targets);
+            replication::merge(
+                context,
+                ReplicaKind::Settings,
+                settings,
+                settings_age,
+                began_at,
+            );
+            replication::merge(
+                context,
+                ReplicaKind::Targets,
+                targets,
+                targets_age,
+                began_at,
+            );
             shared.compared_with(from);
         }
         Message::Collect { window } => {
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -2,16 +2,18 @@
 
 use std::time::Duration;
 
-use jujubebeam_core::gateway::{MirrorDelta, PeerSelector};
+use jujubebeam_core::gateway::{MirrorDelta, PeerSelector, ReplicaAge, TargetChange};
 use jujubebeam_core::membership::is_among_first;
 use jujubebeam_core::store::{StoreOp, StoreReply};
 use ntex::time::{sleep, timeout};
+use strum::Display;
 
 use crate::adapters::{Adapters, StoreApi, StoredSettings, WatchReply, Wire};
 use crate::decision_log::{DecisionKind, decision, millis};
 use crate::message::Message;
 use crate::peers;
 use crate::server::Context;
+use crate::state::{Replica, Shared};
 
 /// Interval between queries to a random vm for updates. A change reaches all vms within a few
 /// rounds, well within the 2 s in which settings must be in force.
@@ -52,6 +54,20 @@
     Targets,
 }
 
+/// Where a replica got a change from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Source {
+    /// A listing of the store.
+    List,
+    /// A watch on the store.
+    Watch,
+    /// Another vm.
+    Vm,
+    /// The end of the time for which a missing target is kept.
+    Expiry,
+}
+
 /// Replicates one prefix: lists it once, then watches for changes.
 pub(crate) async fn replicate<A: Adapters>(context: &Context<A>, replica: ReplicaKind) {
     let shared = &context.shared;
@@ -116,26 +132,22 @@
 
 async fn list_all<A: Adapters>(
     context: &Context<A>,
-    replica: ReplicaKind,
+    kind: ReplicaKind,
     prefix: &str,
 ) -> Result<bool, String> {
+    let shared = &context.shared;
     let op = StoreOp::List {
         prefix: prefix.to_owned(),
     };
+    let sent_at = shared.now();
     match context.store.perform(op).await {
         StoreReply::Values { entries, store } => {
-            {
-                let mut mirrors = context.shared.mirrors();
-                let mirror = match replica {
-                    ReplicaKind::Settings => &mut mirrors.settings,
-                    ReplicaKind::Targets => &mut mirrors.targets,
-                };
-                mirror.replace(entries, store);
-            }
-            context
-                .shared
-                .read_from_store(replica == ReplicaKind::Settings);
-            apply(context, replica);
+            update(shared, kind, |replica| {
+                replica.mirror.replace(entries, store);
+                replica.freshness.confirm(sent_at);
+            });
+            shared.read_from_store(kind == ReplicaKind::Settings);
+            apply(context, kind, Source::List);
             Ok(true)
         }
         other => Err(format!("{other:?}")),
@@ -144,31 +156,23 @@
 
 async fn watch_changes<A: Adapters>(
     context: &Context<A>,
-    replica: ReplicaKind,
+    kind: ReplicaKind,
     prefix: &str,
 ) -> Result<bool, String> {
-    let complete = {
-        let mirrors = context.shared.mirrors();
-        match replica {
-            ReplicaKind::Settings => mirrors.settings.complete(),
-            ReplicaKind::Targets => mirrors.targets.complete(),
-        }
-    };
-    let Some(after) = complete else {
+    let shared = &context.shared;
+    let Some(after) = shared.replicas().get(kind).mirror.complete() else {
         return Ok(false);
     };
+    let sent_at = shared.now();
     match context.store.watch(prefix, after, WATCH_WAIT).await {
         WatchReply::Changes { items, at } => {
-            let changed = {
-                let mut mirrors = context.shared.mirrors();
-                let mirror = match replica {
-                    ReplicaKind::Settings => &mut mirrors.settings,
-                    ReplicaKind::Targets => &mut mirrors.targets,
-                };
-                mirror.advance(items, at)
-            };
+            let changed = update(shared, kind, |replica| {
+                let changed = replica.mirror.advance(items, at);
+                replica.freshness.confirm(sent_at);
+                changed
+            });
             if changed {
-                apply(context, replica);
+                apply(context, kind, Source::Watch);
             }
             Ok(true)
         }
@@ -177,40 +181,58 @@
     }
 }
 
-/// Merges updates from another vm.
-pub(crate) fn merge_deltas<A: Adapters>(
+/// Merges the update of another vm that was queried at `queried_at`, and the age of its replica.
+pub(crate) fn merge<A: Adapters>(
     context: &Context<A>,
-    settings: Option<MirrorDelta>,
-    targets: Option<MirrorDelta>,
+    kind: ReplicaKind,
+    delta: Option<MirrorDelta>,
+    age: Option<ReplicaAge>,
+    queried_at: Duration,
 ) {
-    let (settings, targets) = {
-        let mut mirrors = context.shared.mirrors();
-        (
-            settings.map(|delta| mirrors.settings.merge(delta)),
-            targets.map(|delta| mirrors.targets.merge(delta)),
-        )
-    };
-    if settings.is_some() {
-        apply(context, ReplicaKind::Settings);
+    let has_delta = delta.is_some();
+    update(&context.shared, kind, |replica| {
+        let complete = delta.as_ref().map(|delta| delta.complete);
+        if let Some(delta) = delta {
+            replica.mirror.merge(delta);
+        }
+        // A damaged update leaves the replica behind that of the other vm.
+        let is_merged = complete.is_none_or(|complete| replica.mirror.complete() >= Some(complete));
+        if let Some(age) = age.filter(|_| is_merged) {
+            replica.freshness.merge(age, queried_at);
+        }
+    });
+    if has_delta {
+        apply(context, kind, Source::Vm);
     }
-    if targets.is_some() {
-        apply(context, ReplicaKind::Targets);
+}
+
+/// Changes a replica, and publishes its age.
+fn update<R>(shared: &Shared, kind: ReplicaKind, change: impl FnOnce(&mut Replica) -> R) -> R {
+    let mut replicas = shared.replicas();
+    let replica = replicas.get_mut(kind);
+    let changed = change(replica);
+    if kind == ReplicaKind::Targets {
+        let now = shared.now();
+        if let Some(age) = replica.freshness.age(now) {
+            shared.set_targets_confirmed(now.saturating_sub(age));
+        }
     }
+    changed
 }
 
 /// Applies a changed replica.
-fn apply<A: Adapters>(context: &Context<A>, replica: ReplicaKind) {
-    match replica {
-        ReplicaKind::Settings => apply_settings(context),
-        ReplicaKind::Targets => apply_targets(context),
+fn apply<A: Adapters>(context: &Context<A>, kind: ReplicaKind, source: Source) {
+    match kind {
+        ReplicaKind::Settings => apply_settings(context, source),
+        ReplicaKind::Targets => apply_targets(context, source),
     }
 }
 
-fn apply_settings<A: Adapters>(context: &Context<A>) {
+fn apply_settings<A: Adapters>(context: &Context<A>, source: Source) {
     let shared = &context.shared;
     let values: Vec<_> = {
-        let mirrors = shared.mirrors();
-        let items = mirrors.settings.items();
+        let replicas = shared.replicas();
+        let items = replicas.settings.mirror.items();
         items
             .map(|(key, revision, value)| (key.to_owned(), revision, value.to_vec()))
             .collect()
@@ -226,6 +248,7 @@
                         version,
                         revision = revision.0,
                         routes,
+                        source:% = source,
                         outcome = "in_force"
                     );
                 }
@@ -244,13 +267,13 @@
     }
 }
 
-fn apply_targets<A: Adapters>(context: &Context<A>) {
+fn apply_targets<A: Adapters>(context: &Context<A>, source: Source) {
     let shared = &context.shared;
     let (complete, entries): (_, Vec<_>) = {
-        let mirrors = shared.mirrors();
-        let items = mirrors.targets.items();
+        let replicas = shared.replicas();
+        let items = replicas.targets.mirror.items();
         let entries = items.filter_map(|(key, at, value)| A::Wire::target(key, value, at));
-        (mirrors.targets.complete(), entries.collect())
+        (replicas.targets.mirror.complete(), entries.collect())
     };
     let Some(complete) = complete else {
         return;
@@ -258,10 +281,8 @@
     let count = entries.len();
     let grace = shared.reappear_grace();
     let now = shared.now();
-    {
-        let mut fleet = shared.fleet();
-        fleet.catalog.update(entries, grace, now);
-    }
+    let changes = shared.fleet().catalog.update(entries, grace, now);
+    record_changes(shared, changes, source);
     shared.set_has_targets();
     shared.metrics.targets.set(count as i64);
     decision!(
@@ -269,10 +290,30 @@
         DecisionKind::Targets,
         targets = count,
         revision = complete.0,
-        hold_ms = millis(grace)
+        hold_ms = millis(grace),
+        source:% = source,
+        age_ms = millis(shared.targets_age())
     );
 }
 
+/// Logs the targets that stop accepting work.
+pub(crate) fn record_changes(
+    shared: &Shared,
+    changes: Vec<(String, TargetChange)>,
+    source: Source,
+) {
+    for (target, change) in changes {
+        decision!(
+            shared,
+            DecisionKind::TargetChange,
+            target,
+            change:% = change,
+            source:% = source,
+            age_ms = millis(shared.targets_age())
+        );
+    }
+}
+
 /// Queries random vms for updates, one per interval.
 pub(crate) async fn poll_peers<A: Adapters>(context: &Context<A>) {
     let shared = &context.shared;
@@ -319,9 +360,9 @@
 
 /// Creates the message that queries for updates that this vm lacks.
 fn delta_request<A: Adapters>(context: &Context<A>) -> Message {
-    let mirrors = context.shared.mirrors();
+    let replicas = context.shared.replicas();
     Message::Ask {
-        settings: mirrors.settings.complete(),
-        targets: mirrors.targets.complete(),
+        settings: replicas.settings.mirror.complete(),
+        targets: replicas.targets.mirror.complete(),
     }
 }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -106,6 +106,7 @@
         targets_leaving = placement.omitted_targets.leaving,
         targets_resting = placement.omitted_targets.backing_off,
         targets_limited = placement.omitted_targets.limited,
+        targets_age_ms = millis(shared.targets_age()),
         after_ms = millis(job.arrived_at.elapsed())
     );
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,9 +6,9 @@
 
 use jujubebeam_core::authority::{Authority, AuthorityConfig, Holder};
 use jujubebeam_core::gateway::{
-    Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, GatewaySettings, Mirror, PermitConfig,
-    Permits, PlacementConfig, Placer, PromptOwner, PromptRequestId, RateLimits, Stage, StartGate,
-    TrueTime, UnresponsiveOwners, UsageWindows,
+    Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, Freshness, GatewaySettings, Mirror,
+    PermitConfig, Permits, PlacementConfig, Placer, PromptOwner, PromptRequestId, RateLimits,
+    Stage, StartGate, TrueTime, UnresponsiveOwners, UsageWindows,
 };
 use jujubebeam_core::membership::{Membership, MembershipConfig, Record};
 use jujubebeam_core::quarantine::{Quarantine, QuarantineConfig};
@@ -20,6 +20,7 @@
 use crate::duties::Order;
 use crate::metrics::Metrics;
 use crate::owner::PromptEnds;
+use crate::replication::ReplicaKind;
 
 /// Known targets and the estimates of their load.
 #[derive(Debug)]
@@ -64,11 +65,43 @@
     }
 }
 
+/// Replica of a part of the store.
+#[derive(Debug)]
+pub(crate) struct Replica {
+    pub(crate) mirror: Mirror,
+    pub(crate) freshness: Freshness,
+}
+
+impl Replica {
+    fn new(max_gap: Duration) -> Self {
+        Self {
+            mirror: Mirror::default(),
+            freshness: Freshness::new(max_gap),
+        }
+    }
+}
+
 /// Replicas of the store.
-#[derive(Debug, Default)]
-pub(crate) struct Mirrors {
-    pub(crate) settings: Mirror,
-    pub(crate) targets: Mirror,
+#[derive(Debug)]
+pub(crate) struct Replicas {
+    pub(crate) settings: Replica,
+    pub(crate) targets: Replica,
+}
+
+impl Replicas {
+    pub(crate) fn get(&self, kind: ReplicaKind) -> &Replica {
+        match kind {
+            ReplicaKind::Settings => &self.settings,
+            ReplicaKind::Targets => &self.targets,
+        }
+    }
+
+    pub(crate) fn get_mut(&mut self, kind: ReplicaKind) -> &mut Replica {
+        match kind {
+            ReplicaKind::Settings => &mut self.settings,
+            ReplicaKind::Targets => &mut self.targets,
+        }
+    }
 }
 
 /// Usage counts by window, and the estimate of true time.
@@ -89,7 +122,7 @@
     pub(crate) metrics: Metrics,
     settings: RwLock<Option<Arc<GatewaySettings>>>,
     fleet: Mutex<Fleet>,
-    mirrors: Mutex<Mirrors>,
+    replicas: Mutex<Replicas>,
     budget: Mutex<ArrivalBudget>,
     admission: Mutex<Admission>,
     usage: Mutex<UsageState>,
@@ -105,6 +138,8 @@
     /// Monotonic time in milliseconds until which a missing target is kept, because it may not have
     /// written its entry again yet.
     reappear_until_ms: AtomicU64,
+    /// Monotonic time in milliseconds at which the targets were last known to match the store.
+    targets_confirmed_ms: AtomicU64,
     /// Whether the replica of the targets has ever been complete.
     has_targets: AtomicBool,
     /// Whether this vm has ever been able to serve.
@@ -166,6 +201,7 @@
             ..AuthorityConfig::default()
         };
         let usage_window = Duration::from_millis(config.usage_window_ms);
+        let max_gap = config.replication.max_gap();
         Self {
             vm,
             incarnation,
@@ -182,7 +218,11 @@
             }),
             unresponsive_owners: Mutex::default(),
             prompt_ends: PromptEnds::default(),
-            mirrors: Mutex::default(),
+            replicas: Mutex::new(Replicas {
+                settings: Replica::new(max_gap),
+                targets: Replica::new(max_gap),
+            }),
+            targets_confirmed_ms: AtomicU64::new(0),
             budget: Mutex::new(ArrivalBudget::new(budget)),
             admission: Mutex::default(),
             usage: Mutex::new(UsageState {
@@ -243,8 +283,8 @@
         lock(&self.fleet)
     }
 
-    pub(crate) fn mirrors(&self) -> MutexGuard<'_, Mirrors> {
-        lock(&self.mirrors)
+    pub(crate) fn replicas(&self) -> MutexGuard<'_, Replicas> {
+        lock(&self.replicas)
     }
 
     pub(crate) fn budget(&self) -> MutexGuard<'_, ArrivalBudget> {
@@ -353,6 +393,18 @@
         self.has_targets.store(true, Ordering::Relaxed);
     }
 
+    /// Publishes the time at which the targets were last known to match the store.
+    pub(crate) fn set_targets_confirmed(&self, at: Duration) {
+        self.targets_confirmed_ms
+            .store(at.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Time since the targets were last known to match the store.
+    pub(crate) fn targets_age(&self) -> Duration {
+        let at = Duration::from_millis(self.targets_confirmed_ms.load(Ordering::Relaxed));
+        self.now().saturating_sub(at)
+    }
+
     /// Time for which a missing target is kept, because it may still write its entry again.
     pub(crate) fn reappear_grace(&self) -> Duration {
         let until = Duration::from_millis(self.reappear_until_ms.load(Ordering::Relaxed));
