Bound the age of the replicas of settings and targets

Callers: requests reached a target after it had left, and were lost when it ended. Targets got them from vms that were in touch with the store.

Cause: a vm did not know when its replica was last current, and nothing acted on that. A watch whose connection had become silent was given up after 11 s, and the next call could take another silent connection from the pool. Vms that do not watch query random vms, which bounds the time until a vm has a change in the mean only, and a vm that was stopped replied with what it had.

Now a vm whose replica was not confirmed for 0.375 of the bound queries a watcher, and after half of it reads the changes from the store on a connection of its own; the vms that query it next profit. The bounds are those of the platform. A watch returns after 1 s at the latest, so that a reply without changes confirms the replica, and uses a new connection after a failure.

Weighed: pushing changes to all vms (a lost message still needs a bound), a shorter query interval (better mean, no bound), and keepalive on the watches (two probes take 3 s, and do not show a stopped watcher).

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod prompt_owner;
 mod rate_limits;
+mod refresh;
 mod roles;
 mod scale;
 mod settings;
@@ -49,6 +50,7 @@
     reply_timeout,
 };
 pub use rate_limits::{RateLimitReport, RateLimits};
+pub use refresh::{RefreshPolicy, RefreshStep};
 pub use roles::{RolePolicy, stage_changes};
 pub use scale::{CountOrder, ScalePolicy, Scaler};
 pub use settings::{
--- /dev/null
+++ b/crates/core/src/gateway/refresh.rs
@@ -0,0 +1,55 @@
+//! Decision what a vm does about the age of a replica.
+//!
+//! Random queries between vms spread a change fast on average, but the time until the last vm has
+//! it is not bounded: watches may be silent, watchers stopped, and queries lost. A vm whose replica
+//! was not confirmed for too long therefore queries a watcher, and reads the store itself if that
+//! does not help. The vms that query it next profit from that. See `docs/platform.md`, section 3.
+
+use std::time::Duration;
+
+use strum::{Display, IntoStaticStr};
+
+/// Age at which a watcher is queried, as a share of the bound. Random queries keep replicas younger
+/// than this in a fleet without faults.
+const QUERY_RATIO: f64 = 0.375;
+
+/// Age at which the store is read, as a share of the bound. The rest is left for a read that times
+/// out and is repeated, and for requests that are being sent.
+const READ_RATIO: f64 = 0.5;
+
+/// What a vm does about the age of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum RefreshStep {
+    /// The replica is fresh enough.
+    Wait,
+    /// Query one of the vms that watch the store.
+    QueryWatcher,
+    /// Read the store.
+    ReadStore,
+}
+
+/// Chooses the step for the age of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RefreshPolicy {
+    bound: Duration,
+}
+
+impl RefreshPolicy {
+    /// Creates the policy for a replica whose changes must be acted on within `bound`.
+    pub fn new(bound: Duration) -> Self {
+        Self { bound }
+    }
+
+    /// Step for a replica of this age. A replica that was never confirmed has none.
+    pub fn step(&self, age: Option<Duration>) -> RefreshStep {
+        let reached = |ratio| age.is_none_or(|age| age >= self.bound.mul_f64(ratio));
+        if reached(READ_RATIO) {
+            RefreshStep::ReadStore
+        } else if reached(QUERY_RATIO) {
+            RefreshStep::QueryWatcher
+        } else {
+            RefreshStep::Wait
+        }
+    }
+}
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -17,7 +17,7 @@
 
 pub use config::MembershipConfig;
 use drain::Drain;
-pub use view::is_among_first;
+pub use view::{first_of, is_among_first};
 
 use crate::{Incarnation, Machine, VmId};
 
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -227,11 +227,27 @@
 
 /// Whether `vm` is among the first `count` of `vms` in an order that is the same on all vms.
 pub fn is_among_first(vm: VmId, vms: &[VmId], count: usize) -> bool {
-    let weight = |vm: VmId| (mix(u64::from(vm.0)), vm);
     let own = weight(vm);
     vms.iter().filter(|other| weight(**other) < own).count() < count
 }
 
+/// The first `count` of `vms` in an order that is the same on all vms.
+pub fn first_of(vms: &[VmId], count: usize) -> SmallVec<[VmId; 8]> {
+    let mut first: SmallVec<[VmId; 8]> = SmallVec::new();
+    for vm in vms {
+        let index = first.partition_point(|known| weight(*known) < weight(*vm));
+        if index < count {
+            first.truncate(count - 1);
+            first.insert(index, *vm);
+        }
+    }
+    first
+}
+
+fn weight(vm: VmId) -> (u64, VmId) {
+    (mix(u64::from(vm.0)), vm)
+}
+
 impl PeerState {
     fn new(record: Record, now: Duration, listed: bool) -> Self {
         Self {
--- a/crates/core/tests/gateway_news.rs
+++ b/crates/core/tests/gateway_news.rs
@@ -111,10 +111,11 @@
                 .copied()
                 .filter(|v| zone(v.0) == zone(vm))
                 .collect();
+            let watchers: Vec<_> = (0..WATCHERS).map(VmId).collect();
             let querying = &mut vms[vm as usize];
             let queried = querying
                 .selector
-                .next(&others, &same_zone)
+                .next(&others, &same_zone, &watchers)
                 .expect("others")
                 .0;
             let complete = querying.mirror.complete();
--- a/crates/gateway/src/adapters.rs
+++ b/crates/gateway/src/adapters.rs
@@ -231,13 +231,16 @@
     fn perform(&self, op: StoreOp) -> impl Future<Output = StoreReply>;
     /// Lists the keys with a prefix. The reply may be some seconds old.
     fn list_stale(&self, prefix: &str) -> impl Future<Output = StoreReply>;
-    /// Waits for changes after a revision, for `wait` at most.
+    /// Waits for changes after a revision, for `wait` at most. After a failure, the next call uses a
+    /// new connection, because others that are open may be silent as well.
     fn watch(
         &self,
         prefix: &str,
         after: Revision,
         wait: Duration,
     ) -> impl Future<Output = WatchReply>;
+    /// Reads the changes after a revision, on a connection of its own.
+    fn changes_since(&self, prefix: &str, after: Revision) -> impl Future<Output = WatchReply>;
 }
 
 /// Result of a call for a duty.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,9 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use jujubebeam_core::gateway::PauseLimits;
+use jujubebeam_core::gateway::{PauseLimits, RefreshPolicy};
 use serde::{Deserialize, Serialize};
 
+use crate::replication::ReplicaKind;
+
+/// Shortest bound for a change in the store. Half of it passes before a vm reads the store itself.
+const MIN_REPLICA_BOUND_MS: u64 = 1000;
+
 /// Settings of a gateway process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -48,7 +53,7 @@
     pub usage_window_ms: u64,
     /// Time after the end of a usage window at which its report is due.
     pub usage_due_ms: u64,
-    /// Time for which a missing target is kept after an outage of the store has ended.
+    /// Time for which a missing target is kept after an outage of the store has ended for all vms.
     #[serde(default = "default_reappear_ms")]
     pub reappear_ms: u64,
     /// Replication of the store.
@@ -76,23 +81,39 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ReplicationConfig {
-    /// Interval in which targets write their entries. An entry expires after three of them, so a
-    /// store that is unavailable for less than two expires no entry of a running target.
+    /// Time within which changed settings must be in force on every vm.
+    pub settings_bound_ms: u64,
+    /// Time within which a target that leaves must get no more work from any vm.
+    pub targets_bound_ms: u64,
+    /// Interval in which targets write their entries, which expire after three of them.
     pub target_heartbeat_ms: u64,
 }
 
 impl Default for ReplicationConfig {
     fn default() -> Self {
         Self {
+            settings_bound_ms: 2000,
+            targets_bound_ms: 2000,
             target_heartbeat_ms: 1200,
         }
     }
 }
 
 impl ReplicationConfig {
-    /// Longest time without reading the store after which no entry of a running target has expired.
+    /// Longest time without reading the store after which no entry of a running target has expired:
+    /// such an entry was last written up to one interval before, and is written again up to half an
+    /// interval after.
     pub(crate) fn max_gap(&self) -> Duration {
-        Duration::from_millis(self.target_heartbeat_ms * 2)
+        Duration::from_millis(self.target_heartbeat_ms * 3 / 2)
+    }
+
+    /// Policy by which a replica is kept fresh.
+    pub(crate) fn refresh_policy(&self, kind: ReplicaKind) -> RefreshPolicy {
+        let bound_ms = match kind {
+            ReplicaKind::Settings => self.settings_bound_ms,
+            ReplicaKind::Targets => self.targets_bound_ms,
+        };
+        RefreshPolicy::new(Duration::from_millis(bound_ms))
     }
 }
 
@@ -166,6 +187,13 @@
         if config.usage_window_ms == 0 || config.repeat_window_ms == 0 {
             return Err("usage_window_ms, repeat_window_ms: use a length above 0".into());
         }
+        let bounds = config.replication;
+        if bounds.settings_bound_ms.min(bounds.targets_bound_ms) < MIN_REPLICA_BOUND_MS {
+            return Err(format!(
+                "replication: a read of the store takes up to a second; use bounds of \
+                 {MIN_REPLICA_BOUND_MS} or more"
+            ));
+        }
         if !(0.0..=1.0).contains(&config.cpu_share) || config.cpu_share == 0.0 {
             return Err("cpu_share: use a part above 0, at most 1".into());
         }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -56,6 +56,11 @@
     spawn(context, |context| async move {
         replication::poll_peers(&context).await;
     });
+    for kind in [ReplicaKind::Settings, ReplicaKind::Targets] {
+        spawn(context, move |context| async move {
+            replication::refresh(&context, kind).await;
+        });
+    }
     spawn(context, |context| async move {
         maintain_vm_list(&context).await
     });
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -40,6 +40,8 @@
     Notice,
     /// An engine was queried for the prompt parts that it caches.
     KeptParts,
+    /// A replica was not confirmed for too long, and another vm or the store is queried.
+    Refresh,
     /// A dependency became unavailable or available again.
     Dependency,
     /// A duty was performed or failed.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     notices: IntCounterVec,
     limited_sends: IntCounterVec,
     permits: IntCounterVec,
+    refreshes: IntCounterVec,
     /// Failed list and watch calls of the replicas.
     pub(crate) store_failures: IntCounter,
     /// Version of the settings in force.
@@ -88,6 +89,11 @@
             "Queries for permits to send to limited targets, by outcome",
             &["outcome"],
         );
+        let refreshes = counter(
+            "jujubebeam_replica_refreshes_total",
+            "Queries to watchers and reads of the store because of the age of a replica",
+            &["replica", "step"],
+        );
         let latency = HistogramOpts::new(
             "jujubebeam_request_seconds",
             "Time from arrival to the end of the answer",
@@ -122,6 +128,7 @@
             notices,
             limited_sends,
             permits,
+            refreshes,
             store_failures,
             settings_version,
             targets,
@@ -161,6 +168,11 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Records a step that was taken because of the age of a replica.
+    pub(crate) fn refresh(&self, replica: &'static str, step: &'static str) {
+        self.refreshes.with_label_values(&[replica, step]).inc();
+    }
+
     /// Records that a duty was performed or refused.
     pub(crate) fn duty(&self, duty: &'static str, is_accepted: bool) {
         let accepted = if is_accepted { "yes" } else { "no" };
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use jujubebeam_core::gateway::{MirrorDelta, PeerSelector, ReplicaAge, TargetChange};
-use jujubebeam_core::membership::is_among_first;
+use jujubebeam_core::VmId;
+use jujubebeam_core::gateway::{MirrorDelta, PeerSelector, RefreshStep, ReplicaAge, TargetChange};
+use jujubebeam_core::membership::first_of;
 use jujubebeam_core::store::{StoreOp, StoreReply};
 use ntex::time::{sleep, timeout};
-use strum::Display;
+use smallvec::SmallVec;
+use strum::{Display, IntoStaticStr};
 
 use crate::adapters::{Adapters, StoreApi, StoredSettings, WatchReply, Wire};
 use crate::decision_log::{DecisionKind, decision, millis};
@@ -29,8 +31,16 @@
 /// Number of newest windows whose usage counts are replicated to other vms.
 const REPLICATED_WINDOWS: usize = 2;
 
-/// Longest wait of one watch call.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait of one watch call. A reply without changes confirms the replica, and a silent
+/// connection is noticed soon after this time.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
+
+/// Interval between checks of the ages of the replicas.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Shortest interval between two queries to watchers, and between two reads of the store, because of
+/// the age of a replica. The next call may succeed before an earlier one times out.
+const REFRESH_CALL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Number of vms that watch the store. The store may refuse a third of all vms at once. With eight
 /// watchers, at least one is still served with a probability of 0.9998.
@@ -46,7 +56,8 @@
 const STORE_RETRY_MAX: Duration = Duration::from_millis(500);
 
 /// A part of the store that is replicated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum ReplicaKind {
     /// Settings of the operator.
     Settings,
@@ -54,6 +65,16 @@
     Targets,
 }
 
+impl ReplicaKind {
+    /// Prefix of the replicated keys.
+    fn prefix<A: Adapters>(self) -> &'static str {
+        match self {
+            Self::Settings => A::Wire::SETTINGS_PREFIX,
+            Self::Targets => A::Wire::TARGETS_PREFIX,
+        }
+    }
+}
+
 /// Where a replica got a change from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -69,12 +90,9 @@
 }
 
 /// Replicates one prefix: lists it once, then watches for changes.
-pub(crate) async fn replicate<A: Adapters>(context: &Context<A>, replica: ReplicaKind) {
+pub(crate) async fn replicate<A: Adapters>(context: &Context<A>, kind: ReplicaKind) {
     let shared = &context.shared;
-    let prefix = match replica {
-        ReplicaKind::Settings => A::Wire::SETTINGS_PREFIX,
-        ReplicaKind::Targets => A::Wire::TARGETS_PREFIX,
-    };
+    let prefix = kind.prefix::<A>();
     let mut pause = STORE_RETRY_INITIAL;
     let mut is_disconnected = false;
     let mut needs_listing = true;
@@ -84,8 +102,8 @@
             continue;
         }
         let result = match needs_listing {
-            true => list_all(context, replica, prefix).await,
-            false => watch_changes(context, replica, prefix).await,
+            true => list_all(context, kind, prefix).await,
+            false => watch_changes(context, kind, prefix).await,
         };
         match result {
             Ok(is_complete) => {
@@ -125,9 +143,14 @@
 /// Whether this vm watches the store. In a large fleet only some vms watch it and pass changes on,
 /// so that the number of calls does not grow with the fleet.
 fn is_watcher<A: Adapters>(context: &Context<A>) -> bool {
+    watchers(context).contains(&context.shared.vm)
+}
+
+/// The vms that watch the store.
+fn watchers<A: Adapters>(context: &Context<A>) -> SmallVec<[VmId; WATCHERS]> {
     let shared = &context.shared;
     let live = shared.membership().live(shared.now());
-    is_among_first(shared.vm, &live, WATCHERS)
+    first_of(&live, WATCHERS)
 }
 
 async fn list_all<A: Adapters>(
@@ -164,11 +187,34 @@
         return Ok(false);
     };
     let sent_at = shared.now();
-    match context.store.watch(prefix, after, WATCH_WAIT).await {
+    let reply = context.store.watch(prefix, after, WATCH_WAIT).await;
+    let confirmed_at = match &reply {
+        // The store made a reply without changes at the end of the wait.
+        WatchReply::Changes { items, .. } if items.is_empty() => {
+            let ended_at = sent_at + WATCH_WAIT;
+            if shared.now() >= ended_at {
+                ended_at
+            } else {
+                sent_at
+            }
+        }
+        _ => sent_at,
+    };
+    apply_changes(context, kind, reply, confirmed_at)
+}
+
+/// Applies the changes that the store reported. Returns whether the replica is complete.
+fn apply_changes<A: Adapters>(
+    context: &Context<A>,
+    kind: ReplicaKind,
+    reply: WatchReply,
+    confirmed_at: Duration,
+) -> Result<bool, String> {
+    match reply {
         WatchReply::Changes { items, at } => {
-            let changed = update(shared, kind, |replica| {
+            let changed = update(&context.shared, kind, |replica| {
                 let changed = replica.mirror.advance(items, at);
-                replica.freshness.confirm(sent_at);
+                replica.freshness.confirm(confirmed_at);
                 changed
             });
             if changed {
@@ -181,6 +227,68 @@
     }
 }
 
+/// Keeps a replica younger than its bound, whatever happens to the watches and to other vms.
+pub(crate) async fn refresh<A: Adapters>(context: &Context<A>, kind: ReplicaKind) {
+    let shared = &context.shared;
+    let policy = shared.config.replication.refresh_policy(kind);
+    let mut selector = PeerSelector::new(u64::from(shared.vm.0) ^ !shared.incarnation.0);
+    let mut called_at = Duration::ZERO;
+    loop {
+        sleep(REFRESH_INTERVAL).await;
+        let now = shared.now();
+        let (age, is_read) = {
+            let replicas = shared.replicas();
+            let replica = replicas.get(kind);
+            (
+                replica.freshness.age(now),
+                replica.mirror.complete().is_some(),
+            )
+        };
+        let step = policy.step(age);
+        // A replica that was never read is listed, and compared with those of other vms.
+        if step == RefreshStep::Wait || !is_read || now < called_at + REFRESH_CALL_INTERVAL {
+            continue;
+        }
+        called_at = now;
+        shared.metrics.refresh(kind.into(), step.into());
+        decision!(
+            shared,
+            DecisionKind::Refresh,
+            replica:% = kind,
+            age_ms = age.map(millis),
+            step:% = step
+        );
+        if step == RefreshStep::ReadStore {
+            let context = context.clone();
+            ntex::rt::spawn(async move { read_changes(&context, kind).await });
+        }
+        // The query helps if the store does not reply.
+        let watchers = watchers(context);
+        if let Some(to) = selector.next_watcher(&watchers, shared.vm) {
+            peers::send(context, to, vec![delta_request(context)]);
+        }
+    }
+}
+
+/// Reads the changes since the revision of a replica.
+async fn read_changes<A: Adapters>(context: &Context<A>, kind: ReplicaKind) {
+    let shared = &context.shared;
+    let prefix = kind.prefix::<A>();
+    let Some(after) = shared.replicas().get(kind).mirror.complete() else {
+        return;
+    };
+    let sent_at = shared.now();
+    let reply = context.store.changes_since(prefix, after).await;
+    let mut read = apply_changes(context, kind, reply, sent_at);
+    if read == Ok(false) {
+        read = list_all(context, kind, prefix).await;
+    }
+    if let Err(reason) = read {
+        shared.metrics.store_failures.inc();
+        log::debug!("store: {prefix} could not be read: {reason}");
+    }
+}
+
 /// Merges the update of another vm that was queried at `queried_at`, and the age of its replica.
 pub(crate) fn merge<A: Adapters>(
     context: &Context<A>,
@@ -330,7 +438,7 @@
             }
         }
         let own_zone = peers::in_own_zone(context, &reachable_peers);
-        if let Some(to) = selector.next(&reachable_peers, &own_zone) {
+        if let Some(to) = selector.next(&reachable_peers, &own_zone, &watchers(context)) {
             let mut messages = vec![delta_request(context)];
             // An empty list of leaving targets is sent too, because it lets a vm that has just started
             // get them from the reply.
