Hold missing targets only after an outage that no vm covered

Callers: requests reached a target whose entry had been removed for more than the 2 s in which that is allowed, and were lost when it ended.

Cause: after any failed call of its own, also one for the settings, a vm went on using removed targets for 2 s from the moment at which it learned of the removal. The time for the removal to arrive came on top.

The hold is for entries that expired while the store could not be read. Replicas know since when the store has been read without an interruption of 1.5 heartbeats of a target, by any vm: these intervals travel with their ages and are joined. Missing targets are now held for 2 s from the end of the last interruption, and not at all if other vms could read the store.

--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -131,8 +131,6 @@
                         cause:% = reason
                     );
                 }
-                // Entries that expired during the outage may be written again soon after it.
-                shared.extend_reappear_grace();
                 sleep(pause).await;
                 pause = (pause * 2).min(STORE_RETRY_MAX);
             }
@@ -387,8 +385,8 @@
         return;
     };
     let count = entries.len();
-    let grace = shared.reappear_grace();
     let now = shared.now();
+    let grace = shared.reappear_grace(now);
     let changes = shared.fleet().catalog.update(entries, grace, now);
     record_changes(shared, changes, source);
     shared.set_has_targets();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -135,9 +135,6 @@
     pub(crate) prompt_ends: PromptEnds,
     /// Monotonic time in milliseconds at which this vm started to leave, or 0.
     leaving_since_ms: AtomicU64,
-    /// Monotonic time in milliseconds until which a missing target is kept, because it may not have
-    /// written its entry again yet.
-    reappear_until_ms: AtomicU64,
     /// Monotonic time in milliseconds at which the targets were last known to match the store.
     targets_confirmed_ms: AtomicU64,
     /// Whether the replica of the targets has ever been complete.
@@ -238,7 +235,6 @@
             })),
             start_gate: Mutex::default(),
             leaving_since_ms: AtomicU64::new(0),
-            reappear_until_ms: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
             has_started: AtomicBool::new(false),
             // A restarted vm must not reuse the numbers of its previous run.
@@ -405,18 +401,12 @@
         self.now().saturating_sub(at)
     }
 
-    /// Time for which a missing target is kept, because it may still write its entry again.
-    pub(crate) fn reappear_grace(&self) -> Duration {
-        let until = Duration::from_millis(self.reappear_until_ms.load(Ordering::Relaxed));
-        until.saturating_sub(self.now())
-    }
-
-    /// Restarts the grace period for missing targets. Called while the store is failing, so that
-    /// the period counts from the end of the outage.
-    pub(crate) fn extend_reappear_grace(&self) {
-        let until = self.now() + Duration::from_millis(self.config.reappear_ms);
-        self.reappear_until_ms
-            .store(until.as_millis() as u64, Ordering::Relaxed);
+    /// Time for which a missing target is kept, because its entry may have expired while no vm could
+    /// read the store, and it may still write its entry again.
+    pub(crate) fn reappear_grace(&self, now: Duration) -> Duration {
+        let readable_for = self.replicas().targets.freshness.readable_for(now);
+        let grace = Duration::from_millis(self.config.reappear_ms);
+        grace.saturating_sub(readable_for.unwrap_or(grace))
     }
 }
 
