--- a/crates/jujubebeam/tests/gateway_soak/fleet.rs
+++ b/crates/jujubebeam/tests/gateway_soak/fleet.rs
@@ -61,9 +61,13 @@
 
 impl Fleet {
     pub(crate) fn start() -> Self {
+        Self::with_vms(VMS)
+    }
+
+    pub(crate) fn with_vms(vms: usize) -> Self {
         let store = Store::start();
         let targets: Vec<_> = (0..PLAIN_SERVERS + ENGINES).map(Target::start).collect();
-        let listen: Vec<_> = (0..VMS).map(|_| addresses()).collect();
+        let listen: Vec<_> = (0..vms).map(|_| addresses()).collect();
         let vms = listen.iter().map(|own| {
             let store = Proxy::start(store.address());
             Mutex::new(Vm::new(own, store, listen[0].peers))
