Play planned work in series against gateway processes

Stops of vms, one after the other and several at once, SIGHUP, settings that move routes between services, and targets that leave (draining or removed) and are replaced come in series and overlap, while callers keep their connections until the process is gone.

--- a/crates/jujubebeam/tests/gateway_soak/fleet.rs
+++ b/crates/jujubebeam/tests/gateway_soak/fleet.rs
@@ -27,6 +27,8 @@
 const LONG_EVENTS: u64 = 400;
 /// Time between SIGTERM and the time at which a vm must have ended.
 pub(crate) const GRACE: Duration = Duration::from_millis(3000);
+/// How long callers may keep the addresses of vms.
+pub(crate) const LIFETIME: Duration = Duration::from_millis(500);
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -36,6 +38,8 @@
     callers: SocketAddr,
     file: String,
     log: String,
+    /// Time between SIGTERM and the time at which the vm must have ended.
+    grace: Duration,
     /// The vm's way to the store.
     pub(crate) store: Proxy,
 }
@@ -61,12 +65,28 @@
 
 impl Fleet {
     pub(crate) fn start() -> Self {
-        let store = Store::start();
-        let targets: Vec<_> = (0..PLAIN_SERVERS + ENGINES).map(Target::start).collect();
-        let listen: Vec<_> = (0..VMS).map(|_| addresses()).collect();
-        let vms = listen.iter().map(|own| {
+        let targets = (0..PLAIN_SERVERS + ENGINES).map(Target::start).collect();
+        Self::start_with(Store::start(), targets, VMS, (LIFETIME, GRACE))
+    }
+
+    /// Starts vms, up to eight in a zone.
+    pub(crate) fn start_with(
+        store: Store,
+        targets: Vec<Target>,
+        vms: usize,
+        (lifetime, grace): (Duration, Duration),
+    ) -> Self {
+        let listen: Vec<_> = (0..vms).map(|_| addresses()).collect();
+        let vms = listen.iter().enumerate().map(|(number, own)| {
+            let zone = ["a", "b", "c", "d", "e"][number / 8 % 5];
             let store = Proxy::start(store.address());
-            Mutex::new(Vm::new(own, store, listen[0].peers))
+            Mutex::new(Vm::new(
+                own,
+                zone,
+                store,
+                listen[0].peers,
+                (lifetime, grace),
+            ))
         });
         let fleet = Self {
             vms: vms.collect(),
@@ -96,8 +116,11 @@
 
     /// Writes a newer version of the settings.
     pub(crate) fn change_settings(&self) {
-        let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
-        self.store.put_settings(version);
+        self.store.put_settings(self.next_settings_version());
+    }
+
+    pub(crate) fn next_settings_version(&self) -> u64 {
+        self.version.fetch_add(1, Ordering::SeqCst) + 1
     }
 
     /// How often servers ran each request.
@@ -115,12 +138,18 @@
 }
 
 impl Vm {
-    fn new(listen: &ListenAddresses, store: Proxy, seed: SocketAddr) -> Self {
+    fn new(
+        listen: &ListenAddresses,
+        zone: &str,
+        store: Proxy,
+        seed: SocketAddr,
+        (lifetime, grace): (Duration, Duration),
+    ) -> Self {
         let name = format!("vm-{}", listen.peers.port());
         let text = format!(
-            "vm_name: {name}\nzone: a\nlisten:\n  callers: \"{}\"\n  readiness: \"{}\"\n  \
+            "vm_name: {name}\nzone: {zone}\nlisten:\n  callers: \"{}\"\n  readiness: \"{}\"\n  \
              addresses: \"{}\"\n  peers: \"{}\"\n  metrics: \"{}\"\nseeds: [\"{seed}\"]\n\
-             store: \"{}\"\naddress_lifetime_ms: 500\nshutdown_grace_ms: {}\nrepeat_ratio: 0.2\n\
+             store: \"{}\"\naddress_lifetime_ms: {}\nshutdown_grace_ms: {}\nrepeat_ratio: 0.2\n\
              repeat_allowance: 50\nrepeat_window_ms: 10000\nusage_window_ms: 5000\n\
              usage_due_ms: 10000\n",
             listen.callers,
@@ -129,7 +158,8 @@
             listen.peers,
             listen.metrics.expect("an address"),
             store.address(),
-            GRACE.as_millis(),
+            lifetime.as_millis(),
+            grace.as_millis(),
         );
         let base = std::env::temp_dir().join(format!("jujubebeam-soak-{name}"));
         let file = base.with_extension("yaml").to_string_lossy().into_owned();
@@ -142,10 +172,30 @@
             callers: listen.callers,
             file,
             log,
+            grace,
             store,
         }
     }
 
+    /// File that the vm logs to.
+    pub(crate) fn log(&self) -> &str {
+        &self.log
+    }
+
+    /// File with the id of the running process.
+    pub(crate) fn process_file(&self) -> String {
+        format!("{}.pid", self.file)
+    }
+
+    fn write_process_id(&self) {
+        let id = self.child.as_ref().map(|child| format!("{}\n", child.id()));
+        std::fs::write(self.process_file(), id.unwrap_or_default()).expect("a file can be written");
+    }
+
+    pub(crate) fn listens(&self) -> bool {
+        TcpStream::connect(self.callers).is_ok()
+    }
+
     pub(crate) fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
         let child = Command::new(BINARY)
@@ -153,6 +203,7 @@
             .stdout(Stdio::from(log.expect("the log can be written")))
             .spawn();
         self.child = Some(child.expect("the gateway starts"));
+        self.write_process_id();
     }
 
     /// Sends a signal, such as `STOP` or `CONT`.
@@ -170,19 +221,21 @@
             child.kill().expect("the process is a child");
             child.wait().expect("the process is a child");
         }
+        self.write_process_id();
     }
 
     /// Ends the process by SIGTERM. Returns how it ended if not by itself within its time. A process
     /// that does not listen yet has nothing to finish and may end by the signal.
     pub(crate) fn terminate(&mut self) -> Result<(), String> {
-        let listens = TcpStream::connect(self.callers).is_ok();
+        let listens = self.listens();
         self.signal("TERM");
         let Some(mut child) = self.child.take() else {
             return Ok(());
         };
         let told = Instant::now();
-        while told.elapsed() < GRACE {
+        while told.elapsed() < self.grace {
             if let Some(status) = child.try_wait().expect("the process is a child") {
+                self.write_process_id();
                 return match status.success() || !listens {
                     true => Ok(()),
                     false => Err(status.to_string()),
@@ -192,6 +245,7 @@
         }
         child.kill().expect("the process is a child");
         child.wait().expect("the process is a child");
+        self.write_process_id();
         Err("killed at the end of its time".into())
     }
 }
--- a/crates/jujubebeam/tests/gateway_soak/main.rs
+++ b/crates/jujubebeam/tests/gateway_soak/main.rs
@@ -1,13 +1,16 @@
 //! Random faults against gateways that run as processes of their own, injected from outside them.
 //!
 //! `JUJUBEBEAM_SOAK_SEEDS=1..50 JUJUBEBEAM_SOAK_SECONDS=10` plays other seeds for longer. Faults of
-//! the clock are not part of it: a process reads the clock of the machine, which all share.
+//! the clock are not part of it: a process reads the clock of the machine, which all share. Planned
+//! work is also played with more vms (`JUJUBEBEAM_SOAK_VMS=20`), with vms that run for 20 of each 100 ms
+//! (`JUJUBEBEAM_SOAK_QUOTA_MS=20..80`) or that stop more slowly (`JUJUBEBEAM_SOAK_LIFETIME_MS=2000`), and keeps the logs of failed seeds in `JUJUBEBEAM_SOAK_LOGS`.
 
 mod callers;
 mod faults;
 mod fleet;
 mod limits;
 mod planned_stop;
+mod planned_work;
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
 
@@ -17,7 +20,7 @@
 use std::time::{Duration, Instant};
 
 use callers::{Kind, Outcome};
-use fleet::{EVENTS, Fleet, GRACE};
+use fleet::{EVENTS, Fleet, GRACE, LIFETIME};
 use planned_stop::Habit;
 use support::{Call, is_ready, wait_for};
 
@@ -26,6 +29,9 @@
 const DURATION: Duration = Duration::from_secs(4);
 /// Duration of a play with limits, which bind from 3 s on and are counted over 4 s.
 const LIMITED_DURATION: Duration = Duration::from_secs(16);
+/// Duration and vms of a play with planned work.
+const PLANNED_DURATION: Duration = Duration::from_secs(2);
+const PLANNED_VMS: usize = 4;
 const CALLERS: usize = 8;
 /// Callers of the vm that is told to stop.
 const STOP_CALLERS: usize = 12;
@@ -120,6 +126,33 @@
     assert!(in_queue.len() <= STOP_CALLERS, "{in_queue:?}");
 }
 
+/// Guards against requests that planned work ends without an answer: vms that stop and start one after
+/// the other and several at once, changes of settings, and targets that leave and are replaced, at
+/// times at the same address. Guards also against requests to a target that left long before.
+#[test]
+fn planned_work_in_series_loses_no_request() {
+    let number = |name: &str| -> Option<u64> {
+        let text = std::env::var(format!("JUJUBEBEAM_SOAK_{name}"));
+        text.ok().map(|text| text.parse().expect("a number"))
+    };
+    let quota_ms = std::env::var("JUJUBEBEAM_SOAK_QUOTA_MS").ok().map(|text| {
+        let (on, off) = text.split_once("..").expect("ON..OFF");
+        (on.parse().unwrap(), off.parse().unwrap())
+    });
+    let scale = planned_work::Scale {
+        vms: number("VMS").map_or(PLANNED_VMS, |vms| vms as usize),
+        duration: number("SECONDS").map_or(PLANNED_DURATION, Duration::from_secs),
+        lifetime: number("LIFETIME_MS").map_or(LIFETIME, Duration::from_millis),
+        quota_ms,
+    };
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        let found = planned_work::play(seed, scale);
+        broken.extend(found.into_iter().map(|text| format!("seed {seed}: {text}")));
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("JUJUBEBEAM_SOAK_SEEDS") else {
         return SEEDS.to_vec();
