Finish requests that arrive while a leaving vm closes its listener

Callers saw a stream end without its last event although the vm and the target had seconds left. Cause: the drain ends early when no request is running, and the close that follows was limited to 0.12 s + 0.1 s, the time reserved at the end of the grace period. Requests on kept connections are accepted until 2.5 s after SIGTERM; one that arrived during the close was passed on and then cut. Only a drain that is shorter than 2.5 s is affected (address lifetime x 3 below 2.5 s, or a short grace period); with a lifetime of 2 s such requests are refused as not run before the close.

The close now waits for running requests until the grace period is nearly over. The short limits still apply after that, so the process ends as early as before if nothing is running.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -52,22 +52,22 @@
 /// read.
 const IDLE_CONFIRM_TIME: Duration = Duration::from_millis(40);
 
-/// Longest wait for that state, which is never reached while a stream outlives the grace period.
-/// Together with the other two limits it leaves more than half of the time that is reserved for
-/// ending the process.
+/// Longest wait for that state once the grace period is nearly over, as it is never reached while a
+/// stream outlives the grace period. Together with the other two limits it leaves more than half of
+/// the time that is reserved for ending the process.
 const MAX_IDLE_WAIT: Duration = Duration::from_millis(120);
 
 /// Interval between checks for running requests.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Longest time for closing connections. Idle ones close at once, and those with a running answer
-/// would not close in the time that is left.
+/// Longest time for closing connections once the grace period is nearly over. Idle ones close at
+/// once, and those with a running answer would not close in the time that is left.
 const CLOSING_LIMIT: Duration = Duration::from_millis(100);
 
 /// The worker threads that serve callers.
 #[derive(Debug)]
 pub(crate) struct CallerServer {
-    stops: watch::Sender<bool>,
+    stops: watch::Sender<Option<Instant>>,
     ends: Vec<oneshot::Receiver<()>>,
 }
 
@@ -79,7 +79,7 @@
     /// Returns the error of a listener that cannot be opened or a thread that cannot be started.
     pub(crate) fn start<A: Adapters>(shared: &Arc<Shared>) -> io::Result<Self> {
         let listener = listen(shared.config.listen.callers)?;
-        let (stops, _) = watch::channel(false);
+        let (stops, _) = watch::channel(None);
         let mut ends = Vec::new();
         for number in 0..shared.config.workers {
             let worker = Worker {
@@ -104,10 +104,11 @@
         Ok(Self { stops, ends })
     }
 
-    /// Stops all workers and waits until they have ended.
-    pub(crate) async fn stop(self) {
+    /// Stops all workers and waits until they have ended. Requests that arrive while the connections
+    /// are being closed are finished if they end before `until`.
+    pub(crate) async fn stop(self, until: Instant) {
         // Sending fails if all workers have ended already.
-        let _ = self.stops.send(true);
+        let _ = self.stops.send(Some(until));
         for end in self.ends {
             let _ = end.await;
         }
@@ -126,7 +127,7 @@
 struct Worker {
     listener: TcpListener,
     shared: Arc<Shared>,
-    stopped: watch::Receiver<bool>,
+    stopped: watch::Receiver<Option<Instant>>,
 }
 
 impl Worker {
@@ -162,7 +163,7 @@
                 }
             }
         };
-        loop {
+        let until = loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => serve(stream),
@@ -172,12 +173,13 @@
                     }
                 },
                 changed = self.stopped.changed() => {
-                    if changed.is_err() || *self.stopped.borrow() {
-                        break;
+                    let until = *self.stopped.borrow();
+                    if changed.is_err() || until.is_some() {
+                        break until.unwrap_or_else(Instant::now);
                     }
                 }
             }
-        }
+        };
         let started = Instant::now();
         while started.elapsed() < ACCEPT_QUEUE_LIMIT {
             let Ok(Ok((stream, _))) = timeout(ACCEPT_QUEUE_IDLE, listener.accept()).await else {
@@ -186,8 +188,10 @@
             serve(stream);
         }
         drop(listener);
-        wait_until_idle(&self.shared).await;
-        if timeout(CLOSING_LIMIT, service.shutdown()).await.is_err() {
+        wait_until_idle(&self.shared, until).await;
+        let closing_limit = until.saturating_duration_since(Instant::now());
+        let closing_limit = closing_limit.max(CLOSING_LIMIT);
+        if timeout(closing_limit, service.shutdown()).await.is_err() {
             let vm = self.shared.vm;
             log::info!(event = "closing", vm:% = vm, outcome = "callers_still_connected"; "");
         }
@@ -197,10 +201,10 @@
 
 /// Waits until no request has run for [`IDLE_CONFIRM_TIME`], because a request on a connection that
 /// was just accepted may not have been read yet.
-async fn wait_until_idle(shared: &Shared) {
-    let started = Instant::now();
-    let mut idle_since = started;
-    while idle_since.elapsed() < IDLE_CONFIRM_TIME && started.elapsed() < MAX_IDLE_WAIT {
+async fn wait_until_idle(shared: &Shared, until: Instant) {
+    let mut idle_since = Instant::now();
+    let until = until.max(idle_since + MAX_IDLE_WAIT);
+    while idle_since.elapsed() < IDLE_CONFIRM_TIME && Instant::now() < until {
         sleep(IDLE_CHECK_INTERVAL).await;
         if shared.running.load(Ordering::SeqCst) > 0 {
             idle_since = Instant::now();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -14,6 +14,7 @@
 use ntex::web::types::PayloadConfig;
 use ntex::web::{self, App, HttpServer};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{Instant, sleep_until};
 
 use crate::adapters::{Adapters, StoreApi, Wire};
 use crate::caller_server::CallerServer;
@@ -154,8 +155,8 @@
 
     let caller_server = CallerServer::start::<A>(&shared)?;
 
-    drain_on_signal(&context, signals).await;
-    caller_server.stop().await;
+    let until = drain_on_signal(&context, signals).await;
+    caller_server.stop(until).await;
     drop((control_server, metrics_server));
     log::info!(event = "stop", vm:% = shared.vm; "");
     Ok(())
@@ -194,8 +195,8 @@
 }
 
 /// Waits for SIGTERM or SIGINT, and then until no request is running or the grace period is nearly
-/// over.
-async fn drain_on_signal<A: Adapters>(context: &Context<A>, mut signals: Signals) {
+/// over. Returns the time at which it is nearly over.
+async fn drain_on_signal<A: Adapters>(context: &Context<A>, mut signals: Signals) -> Instant {
     let shared = &context.shared;
     loop {
         tokio::select! {
@@ -211,10 +212,12 @@
     shared.start_leaving();
     peers::feed_membership(context, Event::Leave { linger: true });
     let grace = Duration::from_millis(shared.config.shutdown_grace_ms);
+    let until = Instant::now() + grace.saturating_sub(CLOSING_RESERVE);
     tokio::select! {
         () = shared.drained.notified() => {}
-        () = sleep(grace.saturating_sub(CLOSING_RESERVE)) => {}
+        () = sleep_until(until) => {}
     }
     let running = shared.running.load(Ordering::SeqCst);
     log::info!(event = "drained", vm:% = shared.vm, running; "");
+    until
 }
--- a/crates/jujubebeam/tests/gateway_soak/main.rs
+++ b/crates/jujubebeam/tests/gateway_soak/main.rs
@@ -14,6 +14,7 @@
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
 
+use std::net::TcpStream;
 use std::ops::Range;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -153,6 +154,27 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Guards against a stream that is passed on and then cut, long before the end of the grace period,
+/// because it arrives on a kept connection while the vm closes its listener.
+#[test]
+fn a_request_during_the_close_is_finished() {
+    let fleet = Fleet::start();
+    let address = fleet.listen(0).callers;
+    let mut kept = TcpStream::connect(address).expect("the vm listens");
+    let first = Call::get("/read/close-1").id("close-1").exchange(&mut kept);
+    assert!(first.is_complete);
+    std::thread::scope(|scope| {
+        scope.spawn(|| fleet.vms[0].lock().expect("no test panicked").terminate());
+        wait_for("the listener closes", || {
+            TcpStream::connect(address).is_err()
+        });
+        let stream = Call::post("/verdict/close-2", "close-2").id("close-2");
+        let answer = stream.exchange(&mut kept);
+        let is_passed_on = fleet.runs().contains_key("close-2");
+        assert!(answer.is_complete || !is_passed_on, "{:?}", answer.body);
+    });
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("JUJUBEBEAM_SOAK_SEEDS") else {
         return SEEDS.to_vec();
