--- a/crates/jujubebeam/tests/gateway_soak/planned_work.rs
+++ b/crates/jujubebeam/tests/gateway_soak/planned_work.rs
@@ -70,6 +70,8 @@
     /// Starts and stops of vms.
     restarts: Mutex<Vec<(usize, Instant)>>,
     drain: Duration,
+    /// Longest time between the leaving of a target and the arrival of a request of a vm in touch.
+    latest_arrival: Mutex<Duration>,
     finds: Mutex<Vec<String>>,
 }
 
@@ -103,9 +105,11 @@
         *statuses.entry(request.answer.status).or_default() += 1;
     }
     println!(
-        "seed {seed}: {scale:?}, {} restarts, {} targets, statuses {statuses:?}, {} finds",
+        "seed {seed}: {scale:?}, {} restarts, {} targets, statuses {statuses:?}, latest \
+         arrival {:?} after a leave, {} finds",
         play.restarts.lock().expect("no test panicked").len() / 2,
         play.targets.lock().expect("no test panicked").len(),
+        play.latest_arrival.lock().expect("no test panicked"),
         finds.len()
     );
     if let (false, Ok(folder)) = (finds.is_empty(), std::env::var("JUJUBEBEAM_SOAK_LOGS")) {
@@ -244,6 +248,7 @@
             targets: Mutex::new(targets),
             restarts: Mutex::default(),
             drain: Duration::from_secs(if scale.vms > 12 { 4 } else { 2 }),
+            latest_arrival: Mutex::default(),
             finds: Mutex::default(),
         }
     }
@@ -374,6 +379,7 @@
             }
         }
         let mut finds = Vec::new();
+        let mut latest_arrival = self.latest_arrival.lock().expect("no test panicked");
         for request in requests {
             let arrivals = arrivals.get(&request.id).map_or(&[][..], Vec::as_slice);
             let took = request.sent_at.map(|at| request.ended_at - at);
@@ -401,9 +407,12 @@
             };
             for (target, at) in arrivals {
                 let left_at = *target.left_at.lock().expect("no test panicked");
-                if left_at.is_some_and(|left| *at > left + self.drain)
-                    && self.is_in_touch(request.vm, *at)
-                {
+                let late = left_at.map_or(Duration::ZERO, |left| at.duration_since(left));
+                if !self.is_in_touch(request.vm, *at) {
+                    continue;
+                }
+                *latest_arrival = latest_arrival.max(late);
+                if late > self.drain {
                     found("DRAIN");
                 }
             }
