Carry each attempt once on a connection to a target

Callers saw "not run, retry" for requests that a target was running, a request that may run once ran at two targets, and streams were cut off although their target continued them, if a faulty target wrote an earlier refusal once more on a kept connection.

Cause: an answer is accepted by the id that it echoes. That id tells it from a duplicate of an earlier answer only if no earlier request of the connection had the same id. Three paths send one attempt over a kept connection again: the continuation of a stream at a target that had refused its start (the exclusions of the first phase do not apply to it), the answer at an engine that computed the prompt and then changed its stage, and a caller that uses an id again. The retries of one request are not affected, as they exclude the target.

Each connection now records the attempts that it carried, and the pool does not choose it for one of them. Every echoed id then names one exchange of its connection, so check_answer needs no further rule, and it holds for duplicates of prompts and other answers as well. Attempts are recorded when the connection is chosen, before anything is sent. Equal hashes of two ids only cost another connection.

Weighed, not measured: closing a connection after each refusal, or not believing refusals on reused connections. Refusals are common under overload, so the first costs a connection for each of them, and the second turns true refusals, which are retried elsewhere, into 502. Duplicates for other attempts are recognized by their id, as before: the request ends with 502, as the target may have run it. hyper closes a connection on which bytes arrive before the next request.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod answer_check;
 mod budget;
+mod carried_attempts;
 mod catalog;
 mod leaving;
 mod mirror;
@@ -29,6 +30,7 @@
 pub use admission::Admission;
 pub use answer_check::{AnswerClaim, AnswerVerdict, check_answer};
 pub use budget::{ArrivalBudget, ArrivalBudgetConfig};
+pub use carried_attempts::CarriedAttempts;
 pub use catalog::{Catalog, CatalogTarget, Stage, TargetKey, TargetPhase};
 pub use leaving::TargetRun;
 pub use mirror::{Mirror, MirrorDelta, MirrorItem, PackedItem};
--- a/crates/core/src/gateway/answer_check.rs
+++ b/crates/core/src/gateway/answer_check.rs
@@ -1,13 +1,14 @@
 //! Check whether the head of an answer belongs to the request that waits on its connection.
 //!
 //! A target may send a duplicate of an answer late, when its connection already carries the next
-//! request. The echoed id distinguishes the two. An answer without an id is accepted only on a
+//! request. The echoed id distinguishes the two, because a connection carries each attempt once; see
+//! [`CarriedAttempts`](super::CarriedAttempts). An answer without an id is accepted only on a
 //! connection that carried no request before, where a duplicate of another answer cannot arrive.
 
 /// Properties of the head of an answer and of its connection.
 #[derive(Clone, Copy, Debug)]
 pub struct AnswerClaim<'a> {
-    /// Id of the waiting request.
+    /// Id of the waiting request, which no earlier request of the connection had.
     pub request_id: &'a str,
     /// Id that the answer echoes.
     pub echoed_id: Option<&'a str>,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,7 +19,7 @@
 
 use crate::adapters::{Adapters, AnswerHead, Wire, Work};
 use crate::answer::TargetHeaders;
-use crate::connection::{SendError, TargetConnection};
+use crate::connection::{PooledRequest, SendError, TargetConnection};
 use crate::in_flight::InFlight;
 use crate::job::{HOP_HEADERS, Job};
 use crate::message::Message;
@@ -91,12 +91,15 @@
     let placement = &in_flight.placement;
     job.current_target.replace(placement.target.id.clone());
     // Computing a prompt again has no side effects, so it may always be repeated.
-    let runs_once = job.repeatability() != Repeatability::Idempotent && !work.is_prefill();
+    let pooled = PooledRequest {
+        attempt_id: &job.incoming.attempt_id,
+        runs_once: job.repeatability() != Repeatability::Idempotent && !work.is_prefill(),
+    };
     let limit = connection_limit(shared, job);
     let target = &placement.target;
     let connected = context
         .pool
-        .connect(placement.key, &target.address, runs_once, limit)
+        .connect(placement.key, &target.address, pooled, limit)
         .await;
     let mut connection = match connected {
         Ok(connection) => connection,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use jujubebeam_core::gateway::TargetKey;
+use jujubebeam_core::gateway::{CarriedAttempts, TargetKey};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -63,8 +63,8 @@
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
-    /// Number of requests that were sent on it.
-    exchanges: u32,
+    /// Attempts of the requests that were sent on it.
+    carried: CarriedAttempts,
     /// Whether it may be used for another request.
     is_reusable: bool,
     idle_since: Instant,
@@ -82,6 +82,15 @@
     }
 }
 
+/// Properties of a request that determine which connections it may use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PooledRequest<'a> {
+    /// Id of the caller's attempt, which each connection carries once.
+    pub(crate) attempt_id: &'a str,
+    /// Whether the request may run only once.
+    pub(crate) runs_once: bool,
+}
+
 /// Why an attempt gave no answer.
 #[derive(Debug)]
 pub(crate) enum SendError {
@@ -102,23 +111,24 @@
 pub(crate) struct ConnectionPool(Rc<RefCell<HashMap<TargetKey, TargetPool>>>);
 
 impl ConnectionPool {
-    /// Takes an idle connection or opens one, unless `limit` are open.
+    /// Takes an idle connection that has not carried the attempt, or opens one, unless `limit` are
+    /// open.
     pub(crate) async fn connect(
         &self,
         target: TargetKey,
         address: &str,
-        runs_once: bool,
+        request: PooledRequest<'_>,
         limit: usize,
     ) -> Result<TargetConnection, SendError> {
-        if let Some(connection) = self.take_idle(target, runs_once) {
+        if let Some(mut connection) = self.take_idle(target, request) {
+            connection.carried.record(request.attempt_id);
             return Ok(connection);
         }
         let open = {
             let mut pools = self.0.borrow_mut();
             let pool = pools.entry(target).or_default();
             if pool.open.0.get() >= limit {
-                // Close an idle connection that is too old for this request, to stay within the
-                // limit.
+                // Close an idle connection that this request cannot use, to stay within the limit.
                 pool.idle.pop();
             }
             if pool.open.0.get() >= limit {
@@ -139,9 +149,11 @@
                 return Err(SendError::NotSent(reason));
             }
         };
+        let mut carried = CarriedAttempts::default();
+        carried.record(request.attempt_id);
         Ok(TargetConnection {
             sender,
-            exchanges: 0,
+            carried,
             is_reusable: true,
             idle_since: Instant::now(),
             idle_limit: DEFAULT_IDLE_TIMEOUT,
@@ -149,7 +161,7 @@
         })
     }
 
-    fn take_idle(&self, target: TargetKey, runs_once: bool) -> Option<TargetConnection> {
+    fn take_idle(&self, target: TargetKey, request: PooledRequest<'_>) -> Option<TargetConnection> {
         let mut pools = self.0.borrow_mut();
         let pool = pools.get_mut(&target)?;
         pool.idle.retain(|connection| {
@@ -157,13 +169,14 @@
             !connection.sender.is_closed() && idle < connection.idle_limit
         });
         // The most recently used connection is the least likely to be closing.
-        let connection = pool.idle.pop()?;
+        let index = pool
+            .idle
+            .iter()
+            .rposition(|connection| connection.carried.may_carry(request.attempt_id))?;
+        let connection = &pool.idle[index];
         let is_fresh = connection.idle_since.elapsed() < ONCE_MAX_IDLE;
-        if !connection.sender.is_ready() || (runs_once && !is_fresh) {
-            pool.idle.push(connection);
-            return None;
-        }
-        Some(connection)
+        let is_usable = connection.sender.is_ready() && (is_fresh || !request.runs_once);
+        is_usable.then(|| pool.idle.remove(index))
     }
 
     /// Returns a connection to the pool. Its last answer must be complete and belong to its
@@ -171,7 +184,8 @@
     pub(crate) fn release(&self, target: TargetKey, mut connection: TargetConnection) {
         let mut pools = self.0.borrow_mut();
         let pool = pools.entry(target).or_default();
-        let is_usable = connection.is_reusable && !connection.sender.is_closed();
+        let may_carry_more = connection.is_reusable && !connection.carried.is_full();
+        let is_usable = may_carry_more && !connection.sender.is_closed();
         if pool.idle.len() < MAX_IDLE && is_usable {
             connection.idle_since = Instant::now();
             pool.idle.push(connection);
@@ -205,7 +219,6 @@
         &mut self,
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.exchanges += 1;
         let interim = InterimCounter::default();
         let counted = interim.clone();
         hyper::ext::on_informational(&mut request, move |_| counted.count());
@@ -235,7 +248,7 @@
 
     /// Whether the request that was sent last is the first on this connection.
     pub(crate) fn is_first_exchange(&self) -> bool {
-        self.exchanges <= 1
+        self.carried.is_first()
     }
 
     /// Sets whether the connection may be used for another request. After an answer without an id
