--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod answer_check;
 mod budget;
+mod carried_attempts;
 mod catalog;
 mod freshness;
 mod leaving;
@@ -29,8 +30,9 @@
 mod usage_window;
 
 pub use admission::Admission;
-pub use answer_check::{AnswerClaim, AnswerVerdict, check_answer};
+pub use answer_check::{AnswerClaim, AnswerVerdict, check_answer, contains_status_line};
 pub use budget::{ArrivalBudget, ArrivalBudgetConfig};
+pub use carried_attempts::CarriedAttempts;
 pub use catalog::{Catalog, CatalogTarget, Stage, TargetChange, TargetKey, TargetPhase};
 pub use freshness::{Freshness, ReplicaAge};
 pub use leaving::TargetRun;
