Close the caller's connection if a stream breaks off after large events

Callers of a stream that broke off after events had filled the write buffer of their connection got neither more events nor the end of the connection. They waited until they gave up, and the request counted as running until then.

ntex closes a socket when its dispatcher drops it. After IoRef::close() the dispatcher is woken through a waker that it registers only in some states, and backpressure on the write buffer had used up that waker. The body of the stream stayed pending forever, so nothing polled the dispatcher again.

The body now polls at an interval until it is dropped. The dispatcher checks at each poll whether the connection is closed. Events that are buffered are still sent first, and no last chunk is written.

a_slow_caller_sees_that_its_stream_was_broken_off failed before: no byte and no end within 8 s (strace: no shutdown or close of the socket after the last write). It passes with the change.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,7 +16,7 @@
 use ntex::util::Bytes as NtexBytes;
 use ntex::web::HttpResponse;
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::adapters::{Adapters, Work};
 use crate::attempt;
@@ -103,6 +103,9 @@
 /// was suspended, its timers expire before its sockets are read.
 const BUFFERED_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Interval between checks whether a caller's connection has been closed.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 impl Source {
     async fn next(&mut self) -> StreamItem {
         loop {
@@ -422,6 +425,10 @@
         );
         // An error from here would make ntex write an error response into the middle of the body.
         self.job.close_connection();
-        std::future::pending().await
+        // Buffered events are sent first. ntex may not wake this task when that is done, because an
+        // earlier event that filled its buffer has used up the waker.
+        loop {
+            sleep(CLOSE_CHECK_INTERVAL).await;
+        }
     }
 }
