Continue a stream only with an answer whose status is 200

Callers got a stream that ended as if it were complete, without its last events: any signed success with the type of an event stream was taken for the rest of a stream. A 204 has no body, so its end was forwarded as the end of the stream; a 206 has a part of one.

Such an answer now breaks the stream off, as other unexpected answers do.

a_success_with_another_status_breaks_the_stream_off failed before, with 204 on a resumed stream: the caller received the last chunk after event 2.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::{Response, header};
+use http::{Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use jujubebeam_core::gateway::{
@@ -54,6 +54,11 @@
         && content_type.is_some_and(|v| v.as_bytes().starts_with(EVENT_STREAM.as_bytes()))
 }
 
+/// Whether an answer continues a stream. Other successes have no body or only a part of it.
+fn continues_stream(response: &Response<Incoming>) -> bool {
+    response.status() == StatusCode::OK && is_event_stream(response)
+}
+
 /// Waits for the first complete event.
 pub(crate) async fn open<A: Adapters>(
     context: &Context<A>,
@@ -338,7 +343,7 @@
             );
             match sent.await {
                 Err(_) => return Err("the request's time is over".into()),
-                Ok(Ok((response, connection))) if is_event_stream(&response) => {
+                Ok(Ok((response, connection))) if continues_stream(&response) => {
                     self.switch_source(response, connection, in_flight);
                     return Ok(());
                 }
@@ -377,7 +382,7 @@
         let sent = attempt::send(&self.context, &self.job, &in_flight, work);
         let (end, reason) = match timeout_at(self.job.expires_at, sent).await {
             Err(_) => return false,
-            Ok(Ok((response, connection))) if is_event_stream(&response) => {
+            Ok(Ok((response, connection))) if continues_stream(&response) => {
                 self.switch_source(response, connection, in_flight);
                 return true;
             }
