Recognise every line end of event streams

Callers of a stream whose lines end with CR, or that mixes LF and CRLF around an empty line, got 502, or a broken stream at its end, although the target sent all of it: an event was only complete after LF LF or CRLF CRLF.

Events are now split line by line. A CR at the end of the received bytes waits for its LF, unless lines end with CR alone, so that no event is delayed. Ids are read per event, and an event that does not end no longer counts as a crash of its target.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,20 +1,27 @@
 //! Parser for the boundaries and ids of events in a stream.
 
 use bytes::{Bytes, BytesMut};
+use strum::Display;
 
 /// Longest event that is buffered until it is complete. An event contains one or a few tokens.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// An event exceeds [`MAX_EVENT_BYTES`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct EventTooLong;
+/// Why no further event of a stream can be forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub(crate) enum EventError {
+    /// An event exceeds [`MAX_EVENT_BYTES`].
+    #[strum(to_string = "an event does not end")]
+    TooLong,
+    /// The body ended in the middle of an event.
+    #[strum(to_string = "ended within an event")]
+    Incomplete,
+}
 
 /// Splits a stream into complete events, so that a broken stream can continue at an event boundary.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     partial: BytesMut,
-    /// Number of bytes at the start of `partial` in which no boundary begins.
-    searched: usize,
+    boundaries: BoundaryScanner,
     last_id: Option<u64>,
 }
 
@@ -27,69 +34,136 @@
 }
 
 impl EventSplitter {
-    /// Adds received bytes and returns the events that are now complete.
+    /// Adds received bytes.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.partial.extend_from_slice(bytes);
+    }
+
+    /// Removes and returns the events that are complete.
     ///
     /// # Errors
     ///
     /// Returns an error if an event exceeds the longest length.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Option<CompleteEvents>, EventTooLong> {
-        self.partial.extend_from_slice(bytes);
-        let end = last_boundary(&self.partial, self.searched);
-        // The last bytes may be the start of a boundary.
-        self.searched = (self.partial.len() - end).saturating_sub(3);
-        if end == 0 {
-            return match self.partial.len() > MAX_EVENT_BYTES {
-                true => Err(EventTooLong),
-                false => Ok(None),
-            };
+    pub(crate) fn take_events(&mut self) -> Result<Option<CompleteEvents>, EventError> {
+        let mut bytes = BytesMut::new();
+        let mut has_content = false;
+        while let Some(end) = self.boundaries.next_end(&self.partial) {
+            let event = self.partial.split_to(end);
+            self.boundaries.rewind();
+            if let EventKind::Content { id } = EventKind::of(&event) {
+                has_content = true;
+                self.last_id = id.or(self.last_id);
+            }
+            bytes.unsplit(event);
         }
-        let bytes = self.partial.split_to(end).freeze();
-        if let Some(id) = last_id(&bytes) {
-            self.last_id = Some(id);
+        if !bytes.is_empty() {
+            let bytes = bytes.freeze();
+            return Ok(Some(CompleteEvents { bytes, has_content }));
+        }
+        match self.partial.len() > MAX_EVENT_BYTES {
+            true => Err(EventError::TooLong),
+            false => Ok(None),
         }
-        let has_content = has_content(&bytes);
-        Ok(Some(CompleteEvents { bytes, has_content }))
-    }
-
-    /// Id of the last complete event.
-    pub(crate) fn last_id(&self) -> Option<u64> {
-        self.last_id
     }
 
-    /// Removes and returns the bytes after the last complete event.
-    pub(crate) fn take_partial(&mut self) -> Bytes {
-        self.searched = 0;
-        self.partial.split().freeze()
+    /// Checks the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream is not complete.
+    pub(crate) fn finish(&self) -> Result<(), EventError> {
+        match self.partial.is_empty() {
+            true => Ok(()),
+            false => Err(EventError::Incomplete),
+        }
     }
 
-    /// Whether no part of an incomplete event has been received.
-    pub(crate) fn is_at_boundary(&self) -> bool {
-        self.partial.is_empty()
+    /// Id of the last complete event that has one.
+    pub(crate) fn last_id(&self) -> Option<u64> {
+        self.last_id
     }
 }
 
-/// Position after the last empty line that begins at `from` or later, or 0.
-fn last_boundary(bytes: &[u8], from: usize) -> usize {
-    let tail = &bytes[from..];
-    let lf = find_last(tail, b"\n\n").map_or(0, |at| from + at + 2);
-    let crlf = find_last(tail, b"\r\n\r\n").map_or(0, |at| from + at + 4);
-    lf.max(crlf)
+/// Finds the empty lines that end events. A line ends with LF, CRLF or CR.
+#[derive(Debug, Default)]
+struct BoundaryScanner {
+    /// Number of bytes at the start of the buffer that were searched.
+    searched: usize,
+    /// Whether the line at that position is not empty.
+    line_has_bytes: bool,
+    /// Whether the line before it ended with CR alone.
+    last_end_is_cr: bool,
 }
 
-fn find_last(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).rposition(|w| w == pattern)
+impl BoundaryScanner {
+    /// Position after the first event in `bytes`, if it is complete.
+    fn next_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        while let Some(byte) = bytes.get(self.searched) {
+            let length = match (byte, bytes.get(self.searched + 1)) {
+                (b'\n', _) => 1,
+                (b'\r', Some(b'\n')) => 2,
+                (b'\r', Some(_)) => 1,
+                // If lines end with CR, the event is complete and must not wait for the next one.
+                (b'\r', None) if self.last_end_is_cr && !self.line_has_bytes => 1,
+                // LF may follow.
+                (b'\r', None) => return None,
+                _ => {
+                    self.searched += 1;
+                    self.line_has_bytes = true;
+                    continue;
+                }
+            };
+            self.searched += length;
+            self.last_end_is_cr = *byte == b'\r' && length == 1;
+            if !std::mem::take(&mut self.line_has_bytes) {
+                return Some(self.searched);
+            }
+        }
+        None
+    }
+
+    /// Continues at the start of the buffer, with an event.
+    fn rewind(&mut self) {
+        self.searched = 0;
+        self.line_has_bytes = false;
+    }
 }
 
-fn has_content(events: &[u8]) -> bool {
-    events
-        .split(|b| *b == b'\n')
-        .any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
+/// What a complete event contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EventKind {
+    /// Data or an id.
+    Content {
+        /// The id, if it is a number.
+        id: Option<u64>,
+    },
+    /// Nothing for the caller's application.
+    Comment,
 }
 
-fn last_id(events: &[u8]) -> Option<u64> {
-    events
-        .split(|b| *b == b'\n')
-        .rev()
-        .filter_map(|line| line.strip_prefix(b"id:"))
-        .find_map(|value| std::str::from_utf8(value).ok()?.trim().parse().ok())
+impl EventKind {
+    fn of(event: &[u8]) -> Self {
+        let mut id = None;
+        let mut has_content = false;
+        for line in event.split(|byte| matches!(byte, b'\n' | b'\r')) {
+            let (name, value) = match line.iter().position(|byte| *byte == b':') {
+                Some(colon) => (&line[..colon], &line[colon + 1..]),
+                None => (line, &[][..]),
+            };
+            match name {
+                b"id" => {
+                    id = std::str::from_utf8(value)
+                        .ok()
+                        .and_then(|v| v.trim().parse().ok());
+                    has_content = true;
+                }
+                b"data" => has_content = true,
+                _ => {}
+            }
+        }
+        match has_content {
+            true => Self::Content { id },
+            false => Self::Comment,
+        }
+    }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -23,7 +23,7 @@
 use crate::backup::{self, Backup};
 use crate::connection::TargetConnection;
 use crate::decision_log::{DecisionKind, decision, millis};
-use crate::events::{CompleteEvents, EventSplitter, EventTooLong};
+use crate::events::{CompleteEvents, EventError, EventSplitter};
 use crate::forward;
 use crate::in_flight::InFlight;
 use crate::job::Job;
@@ -89,6 +89,10 @@
             source.record_break(context, job);
             Err(reason)
         }
+        StreamItem::Invalid(error) => {
+            source.record_failure(context);
+            Err(error.to_string())
+        }
     }
 }
 
@@ -100,6 +104,8 @@
     Comment(Bytes),
     End,
     Broken(String),
+    /// The target sent something that must not be forwarded.
+    Invalid(EventError),
     /// No event has arrived within the longest pause of the route.
     Stalled,
 }
@@ -114,31 +120,37 @@
 impl Source {
     async fn next(&mut self) -> StreamItem {
         loop {
+            match self.splitter.take_events() {
+                Ok(Some(CompleteEvents { bytes, has_content })) => {
+                    return match has_content {
+                        true => StreamItem::Events(bytes),
+                        false => StreamItem::Comment(bytes),
+                    };
+                }
+                Ok(None) => {}
+                Err(error) => return StreamItem::Invalid(error),
+            }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    match self.splitter.push(&data) {
-                        Ok(Some(CompleteEvents { bytes, has_content })) => {
-                            return match has_content {
-                                true => StreamItem::Events(bytes),
-                                false => StreamItem::Comment(bytes),
-                            };
-                        }
-                        Ok(None) => {}
-                        Err(EventTooLong) => {
-                            return StreamItem::Broken("an event does not end".into());
-                        }
+                    if let Some(data) = frame.data_ref() {
+                        self.splitter.push(data);
                     }
                 }
                 Some(Err(error)) => return StreamItem::Broken(error.to_string()),
-                None if self.splitter.is_at_boundary() => return StreamItem::End,
-                None => return StreamItem::Broken("ended within an event".into()),
+                None => return self.end(),
             }
         }
     }
 
+    /// What the end of the body means.
+    fn end(&self) -> StreamItem {
+        match self.splitter.finish() {
+            Ok(()) => StreamItem::End,
+            Err(error @ EventError::Incomplete) => StreamItem::Broken(error.to_string()),
+            Err(error) => StreamItem::Invalid(error),
+        }
+    }
+
     /// Returns the next item, or [`StreamItem::Stalled`] if none arrives before `until`.
     async fn next_until(&mut self, until: Instant) -> StreamItem {
         if let Ok(item) = timeout_at(until, self.next()).await {
@@ -154,7 +166,7 @@
         attempt::report_crash(context, job, &self.in_flight.placement);
     }
 
-    /// Records that the stream broke off or stalled. A stall does not count as a crash.
+    /// Records that the stream broke off, stalled or is invalid. Only the first may be a crash.
     fn record_failure<A: Adapters>(&self, context: &Context<A>) {
         self.in_flight.failed();
         context.pool.close_idle(self.in_flight.placement.key);
@@ -281,6 +293,12 @@
                         return self.abort(&reason).await;
                     }
                 }
+                Ok(StreamItem::Invalid(error)) => {
+                    source.record_failure(&self.context);
+                    if let Err(reason) = self.resume(&error.to_string()).await {
+                        return self.abort(&reason).await;
+                    }
+                }
                 Ok(StreamItem::Comment(_) | StreamItem::Stalled) => {
                     source.record_failure(&self.context);
                     let reason = format!("no event for {} ms", self.pause_limit.as_millis());
@@ -313,8 +331,6 @@
         let target = source.in_flight.placement.target.id.clone();
         let end = AttemptEnd::BrokenMidway;
         record_failed_attempt(&shared, &self.job, &target, end, reason);
-        // The received part of an incomplete event was not forwarded.
-        source.splitter.take_partial();
         let backup = source.in_flight.backup.take();
         drop(source);
         let mut end = end;
