Forward only events, not other text within an event stream

Callers found the head or the text of an error in the middle of their stream: text with an empty line was taken for a comment and forwarded, whether it was in a chunk or in a body without a length, in which a second head is just text.

A block of lines must now have data, an id, another field of an event or a comment. Otherwise the stream is continued elsewhere, if it may be, or broken off. Events before such a block are forwarded.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -15,6 +15,9 @@
     /// The body ended in the middle of an event.
     #[strum(to_string = "ended within an event")]
     Incomplete,
+    /// Lines without any field of an event, such as the text of an error.
+    #[strum(to_string = "text that is not an event")]
+    NotAnEvent,
 }
 
 /// Splits a stream into complete events, so that a broken stream can continue at an event boundary.
@@ -43,18 +46,27 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if an event exceeds the longest length.
+    /// Returns an error if the next event cannot be forwarded. Events before it are returned first.
     pub(crate) fn take_events(&mut self) -> Result<Option<CompleteEvents>, EventError> {
         let mut bytes = BytesMut::new();
         let mut has_content = false;
         while let Some(end) = self.boundaries.next_end(&self.partial) {
-            let event = self.partial.split_to(end);
-            self.boundaries.rewind();
-            if let EventKind::Content { id } = EventKind::of(&event) {
-                has_content = true;
-                self.last_id = id.or(self.last_id);
+            match EventKind::of(&self.partial[..end]) {
+                // The next call finds the same event.
+                Err(_) if !bytes.is_empty() => {
+                    self.boundaries.rewind();
+                    break;
+                }
+                Err(error) => return Err(error),
+                Ok(kind) => {
+                    bytes.unsplit(self.partial.split_to(end));
+                    self.boundaries.rewind();
+                    if let EventKind::Content { id } = kind {
+                        has_content = true;
+                        self.last_id = id.or(self.last_id);
+                    }
+                }
             }
-            bytes.unsplit(event);
         }
         if !bytes.is_empty() {
             let bytes = bytes.freeze();
@@ -142,10 +154,13 @@
 }
 
 impl EventKind {
-    fn of(event: &[u8]) -> Self {
+    fn of(event: &[u8]) -> Result<Self, EventError> {
         let mut id = None;
-        let mut has_content = false;
-        for line in event.split(|byte| matches!(byte, b'\n' | b'\r')) {
+        let (mut has_content, mut is_event) = (false, false);
+        let mut is_blank = true;
+        let lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
+        for line in lines.filter(|line| !line.is_empty()) {
+            is_blank = false;
             let (name, value) = match line.iter().position(|byte| *byte == b':') {
                 Some(colon) => (&line[..colon], &line[colon + 1..]),
                 None => (line, &[][..]),
@@ -158,12 +173,15 @@
                     has_content = true;
                 }
                 b"data" => has_content = true,
+                // An empty name is that of a comment.
+                b"event" | b"retry" | b"" => is_event = true,
                 _ => {}
             }
         }
-        match has_content {
-            true => Self::Content { id },
-            false => Self::Comment,
+        match (has_content, is_event || is_blank) {
+            (true, _) => Ok(Self::Content { id }),
+            (false, true) => Ok(Self::Comment),
+            (false, false) => Err(EventError::NotAnEvent),
         }
     }
 }
