Check that the events of a continuation follow the forwarded ones

Callers got events twice, or lost some, in a stream that looked complete: the events of a second target were forwarded as they came.

The splitter of a continuation knows the position in the stream. It drops events up to the last forwarded id. It rejects a first event without an id, ids that do not increase, and a gap if all ids so far were consecutive; the stream is then continued elsewhere or broken off. Ids may increase in steps, so a gap alone is no fault.

A stream is no longer continued if its last event has no id, or if its ids do not increase: the last id does not state which events were forwarded then.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -18,14 +18,37 @@
     /// Lines without any field of an event, such as the text of an error.
     #[strum(to_string = "text that is not an event")]
     NotAnEvent,
+    /// The first new event of a continuation has no id, so it may be one that was forwarded.
+    #[strum(to_string = "continued with an event without an id")]
+    MissingId,
+    /// A continuation skips ids of a stream whose ids are consecutive.
+    #[strum(to_string = "continued with a gap between ids")]
+    SkippedId,
+    /// The ids of a continuation do not increase.
+    #[strum(to_string = "continued with ids that do not increase")]
+    UnorderedId,
 }
 
 /// Splits a stream into complete events, so that a broken stream can continue at an event boundary.
+///
+/// In a continuation, events that were forwarded before are dropped, and the others must follow
+/// them.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     partial: BytesMut,
     boundaries: BoundaryScanner,
-    last_id: Option<u64>,
+    position: StreamPosition,
+    part: StreamPart,
+}
+
+/// Which part of a stream a target sends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum StreamPart {
+    #[default]
+    First,
+    /// A continuation of which no new event has arrived.
+    ContinuationStart,
+    Continuation,
 }
 
 /// Complete events.
@@ -37,6 +60,15 @@
 }
 
 impl EventSplitter {
+    /// Creates the splitter of a continuation of a stream.
+    pub(crate) fn after(position: StreamPosition) -> Self {
+        Self {
+            position,
+            part: StreamPart::ContinuationStart,
+            ..Self::default()
+        }
+    }
+
     /// Adds received bytes.
     pub(crate) fn push(&mut self, bytes: &[u8]) {
         self.partial.extend_from_slice(bytes);
@@ -51,20 +83,21 @@
         let mut bytes = BytesMut::new();
         let mut has_content = false;
         while let Some(end) = self.boundaries.next_end(&self.partial) {
-            match EventKind::of(&self.partial[..end]) {
+            let admitted = EventKind::of(&self.partial[..end]).and_then(|kind| self.admit(kind));
+            match admitted {
                 // The next call finds the same event.
                 Err(_) if !bytes.is_empty() => {
                     self.boundaries.rewind();
                     break;
                 }
                 Err(error) => return Err(error),
-                Ok(kind) => {
-                    bytes.unsplit(self.partial.split_to(end));
+                Ok(admission) => {
+                    let event = self.partial.split_to(end);
                     self.boundaries.rewind();
-                    if let EventKind::Content { id } = kind {
-                        has_content = true;
-                        self.last_id = id.or(self.last_id);
+                    if admission != Admission::Dropped {
+                        bytes.unsplit(event);
                     }
+                    has_content |= admission == Admission::Content;
                 }
             }
         }
@@ -90,10 +123,107 @@
         }
     }
 
-    /// Id of the last complete event that has one.
+    /// Position after the last complete event.
+    pub(crate) fn position(&self) -> StreamPosition {
+        self.position
+    }
+
+    fn admit(&mut self, kind: EventKind) -> Result<Admission, EventError> {
+        let EventKind::Content { id } = kind else {
+            return Ok(Admission::Comment);
+        };
+        if self.part != StreamPart::First {
+            let is_start = self.part == StreamPart::ContinuationStart;
+            match id {
+                None if is_start => return Err(EventError::MissingId),
+                None => {}
+                Some(id) if self.position.includes(id) && is_start => {
+                    return Ok(Admission::Dropped);
+                }
+                Some(id) if self.position.includes(id) => return Err(EventError::UnorderedId),
+                Some(id) if self.position.skips_to(id) => return Err(EventError::SkippedId),
+                Some(_) => {}
+            }
+            self.part = StreamPart::Continuation;
+        }
+        self.position.advance(id);
+        Ok(Admission::Content)
+    }
+}
+
+/// What happens to a complete event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Admission {
+    Content,
+    Comment,
+    /// It was forwarded before.
+    Dropped,
+}
+
+/// Position in a stream after the events that were forwarded.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StreamPosition {
+    /// Highest id.
+    last_id: Option<u64>,
+    /// Whether the last event has an id.
+    ends_with_id: bool,
+    order: IdOrder,
+}
+
+/// How the ids of a stream's events have changed so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum IdOrder {
+    /// There are fewer than two.
+    #[default]
+    Unknown,
+    /// Always by one.
+    Consecutive,
+    Increasing,
+    Unordered,
+}
+
+impl StreamPosition {
+    /// Highest id of the forwarded events, for the log.
     pub(crate) fn last_id(&self) -> Option<u64> {
         self.last_id
     }
+
+    /// Id after which another target can continue. There is none if the last id does not state
+    /// which events were forwarded.
+    pub(crate) fn resume_id(&self) -> Option<u64> {
+        let is_exact = self.ends_with_id && self.order != IdOrder::Unordered;
+        self.last_id.filter(|_| is_exact)
+    }
+
+    fn includes(&self, id: u64) -> bool {
+        self.last_id.is_some_and(|last| id <= last)
+    }
+
+    /// Whether an id of a stream with consecutive ids would be missing before this one.
+    fn skips_to(&self, id: u64) -> bool {
+        self.order == IdOrder::Consecutive && !self.is_next(id)
+    }
+
+    fn is_next(&self, id: u64) -> bool {
+        self.last_id.and_then(|last| last.checked_add(1)) == Some(id)
+    }
+
+    fn advance(&mut self, id: Option<u64>) {
+        self.ends_with_id = id.is_some();
+        let Some(id) = id else {
+            return;
+        };
+        self.order = match (self.last_id, self.order) {
+            (None, _) => IdOrder::Unknown,
+            (Some(last), _) if id <= last => IdOrder::Unordered,
+            (_, IdOrder::Unordered) => IdOrder::Unordered,
+            (_, IdOrder::Unknown | IdOrder::Consecutive) if self.is_next(id) => {
+                IdOrder::Consecutive
+            }
+            _ => IdOrder::Increasing,
+        };
+        self.last_id = self.last_id.max(Some(id));
+    }
 }
 
 /// Finds the empty lines that end events. A line ends with LF, CRLF or CR.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -23,7 +23,7 @@
 use crate::backup::{self, Backup};
 use crate::connection::TargetConnection;
 use crate::decision_log::{DecisionKind, decision, millis};
-use crate::events::{CompleteEvents, EventError, EventSplitter};
+use crate::events::{CompleteEvents, EventError, EventSplitter, StreamPosition};
 use crate::forward;
 use crate::in_flight::InFlight;
 use crate::job::Job;
@@ -182,7 +182,7 @@
     source: Option<Source>,
     progress: RequestProgress,
     excluded: SmallVec<[TargetKey; 4]>,
-    last_id: Option<u64>,
+    position: StreamPosition,
     /// When the last events arrived, and the longest time between two arrivals.
     last_event_at: Instant,
     longest_pause: Duration,
@@ -224,7 +224,7 @@
     let relay = StreamRelay {
         context: context.clone(),
         first: Some(events.first),
-        last_id: events.source.splitter.last_id(),
+        position: events.source.splitter.position(),
         source: Some(events.source),
         progress,
         excluded: SmallVec::new(),
@@ -272,7 +272,7 @@
             match timeout_at(limit, source.next_until(self.stalled_at)).await {
                 Err(_) => return self.abort("the request's time is over").await,
                 Ok(StreamItem::Events(events)) => {
-                    self.last_id = source.splitter.last_id().or(self.last_id);
+                    self.position = source.splitter.position();
                     self.longest_pause = self.longest_pause.max(self.last_event_at.elapsed());
                     self.last_event_at = Instant::now();
                     self.stalled_at = self.last_event_at + self.pause_limit;
@@ -341,8 +341,8 @@
             return Ok(());
         }
         loop {
-            let Some(last_id) = self.last_id else {
-                return Err("the events have no ids".into());
+            let Some(last_id) = self.position.resume_id() else {
+                return Err("the ids do not state where to continue".into());
             };
             let step = self.progress.ended(end);
             if !forward::may_retry(&shared, &self.job, step) {
@@ -379,7 +379,7 @@
     /// request at another target, because it remains the same run.
     async fn continue_from_backup(&mut self, backup: &Backup) -> bool {
         let shared = self.context.shared.clone();
-        let Some(after) = self.last_id else {
+        let Some(after) = self.position.resume_id() else {
             return false;
         };
         let retry = NextStep::Retry { uses_budget: true };
@@ -425,7 +425,7 @@
             body: response.into_body(),
             connection,
             in_flight,
-            splitter: EventSplitter::default(),
+            splitter: EventSplitter::after(self.position),
         });
     }
 
@@ -441,7 +441,7 @@
             route = self.job.route().name.as_str(),
             reason = "cut_off",
             cause = reason,
-            last_event = self.last_id,
+            last_event = self.position.last_id(),
             after_ms = millis(self.job.arrived_at.elapsed())
         );
         // An error from here would make ntex write an error response into the middle of the body.
