Break a stream off if its continuation ends without a new event

Callers got a stream that ended as if it were complete, if the second target sent an event stream without any new event, or closed a body without a length before the first one.

Nothing marks the last event of a stream, so an empty continuation does not prove that the first target had sent all events. It now counts as a failure of the continuation. If only the end of the first body was lost, the caller sees a broken stream and may resume it itself.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -27,6 +27,9 @@
     /// The ids of a continuation do not increase.
     #[strum(to_string = "continued with ids that do not increase")]
     UnorderedId,
+    /// A continuation ended without a new event, which does not prove that the stream is complete.
+    #[strum(to_string = "continued without a new event")]
+    NothingNew,
 }
 
 /// Splits a stream into complete events, so that a broken stream can continue at an event boundary.
@@ -117,9 +120,12 @@
     ///
     /// Returns an error if the stream is not complete.
     pub(crate) fn finish(&self) -> Result<(), EventError> {
-        match self.partial.is_empty() {
-            true => Ok(()),
-            false => Err(EventError::Incomplete),
+        if !self.partial.is_empty() {
+            return Err(EventError::Incomplete);
+        }
+        match self.part {
+            StreamPart::ContinuationStart => Err(EventError::NothingNew),
+            StreamPart::First | StreamPart::Continuation => Ok(()),
         }
     }
 
