--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::{Response, header};
+use http::{Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use jujubebeam_core::gateway::{
@@ -16,14 +16,14 @@
 use ntex::util::Bytes as NtexBytes;
 use ntex::web::HttpResponse;
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::adapters::{Adapters, Work};
 use crate::attempt;
 use crate::backup::{self, Backup};
 use crate::connection::TargetConnection;
 use crate::decision_log::{DecisionKind, decision, millis};
-use crate::events::{CompleteEvents, EventSplitter, EventTooLong};
+use crate::events::{CompleteEvents, EventError, EventSplitter, StreamPosition};
 use crate::forward;
 use crate::in_flight::InFlight;
 use crate::job::Job;
@@ -54,6 +54,11 @@
         && content_type.is_some_and(|v| v.as_bytes().starts_with(EVENT_STREAM.as_bytes()))
 }
 
+/// Whether an answer continues a stream. Other successes have no body or only a part of it.
+fn continues_stream(response: &Response<Incoming>) -> bool {
+    response.status() == StatusCode::OK && is_event_stream(response)
+}
+
 /// Waits for the first complete event.
 pub(crate) async fn open<A: Adapters>(
     context: &Context<A>,
@@ -84,6 +89,10 @@
             source.record_break(context, job);
             Err(reason)
         }
+        StreamItem::Invalid(error) => {
+            source.record_failure(context);
+            Err(error.to_string())
+        }
     }
 }
 
@@ -95,6 +104,8 @@
     Comment(Bytes),
     End,
     Broken(String),
+    /// The target sent something that must not be forwarded.
+    Invalid(EventError),
     /// No event has arrived within the longest pause of the route.
     Stalled,
 }
@@ -103,34 +114,43 @@
 /// was suspended, its timers expire before its sockets are read.
 const BUFFERED_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Interval between checks whether a caller's connection has been closed.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 impl Source {
     async fn next(&mut self) -> StreamItem {
         loop {
+            match self.splitter.take_events() {
+                Ok(Some(CompleteEvents { bytes, has_content })) => {
+                    return match has_content {
+                        true => StreamItem::Events(bytes),
+                        false => StreamItem::Comment(bytes),
+                    };
+                }
+                Ok(None) => {}
+                Err(error) => return StreamItem::Invalid(error),
+            }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    match self.splitter.push(&data) {
-                        Ok(Some(CompleteEvents { bytes, has_content })) => {
-                            return match has_content {
-                                true => StreamItem::Events(bytes),
-                                false => StreamItem::Comment(bytes),
-                            };
-                        }
-                        Ok(None) => {}
-                        Err(EventTooLong) => {
-                            return StreamItem::Broken("an event does not end".into());
-                        }
+                    if let Some(data) = frame.data_ref() {
+                        self.splitter.push(data);
                     }
                 }
                 Some(Err(error)) => return StreamItem::Broken(error.to_string()),
-                None if self.splitter.is_at_boundary() => return StreamItem::End,
-                None => return StreamItem::Broken("ended within an event".into()),
+                None => return self.end(),
             }
         }
     }
 
+    /// What the end of the body means.
+    fn end(&self) -> StreamItem {
+        match self.splitter.finish() {
+            Ok(()) => StreamItem::End,
+            Err(error @ EventError::Incomplete) => StreamItem::Broken(error.to_string()),
+            Err(error) => StreamItem::Invalid(error),
+        }
+    }
+
     /// Returns the next item, or [`StreamItem::Stalled`] if none arrives before `until`.
     async fn next_until(&mut self, until: Instant) -> StreamItem {
         if let Ok(item) = timeout_at(until, self.next()).await {
@@ -146,7 +166,7 @@
         attempt::report_crash(context, job, &self.in_flight.placement);
     }
 
-    /// Records that the stream broke off or stalled. A stall does not count as a crash.
+    /// Records that the stream broke off, stalled or is invalid. Only the first may be a crash.
     fn record_failure<A: Adapters>(&self, context: &Context<A>) {
         self.in_flight.failed();
         context.pool.close_idle(self.in_flight.placement.key);
@@ -162,7 +182,7 @@
     source: Option<Source>,
     progress: RequestProgress,
     excluded: SmallVec<[TargetKey; 4]>,
-    last_id: Option<u64>,
+    position: StreamPosition,
     /// When the last events arrived, and the longest time between two arrivals.
     last_event_at: Instant,
     longest_pause: Duration,
@@ -204,7 +224,7 @@
     let relay = StreamRelay {
         context: context.clone(),
         first: Some(events.first),
-        last_id: events.source.splitter.last_id(),
+        position: events.source.splitter.position(),
         source: Some(events.source),
         progress,
         excluded: SmallVec::new(),
@@ -252,7 +272,7 @@
             match timeout_at(limit, source.next_until(self.stalled_at)).await {
                 Err(_) => return self.abort("the request's time is over").await,
                 Ok(StreamItem::Events(events)) => {
-                    self.last_id = source.splitter.last_id().or(self.last_id);
+                    self.position = source.splitter.position();
                     self.longest_pause = self.longest_pause.max(self.last_event_at.elapsed());
                     self.last_event_at = Instant::now();
                     self.stalled_at = self.last_event_at + self.pause_limit;
@@ -273,6 +293,12 @@
                         return self.abort(&reason).await;
                     }
                 }
+                Ok(StreamItem::Invalid(error)) => {
+                    source.record_failure(&self.context);
+                    if let Err(reason) = self.resume(&error.to_string()).await {
+                        return self.abort(&reason).await;
+                    }
+                }
                 Ok(StreamItem::Comment(_) | StreamItem::Stalled) => {
                     source.record_failure(&self.context);
                     let reason = format!("no event for {} ms", self.pause_limit.as_millis());
@@ -305,8 +331,6 @@
         let target = source.in_flight.placement.target.id.clone();
         let end = AttemptEnd::BrokenMidway;
         record_failed_attempt(&shared, &self.job, &target, end, reason);
-        // The received part of an incomplete event was not forwarded.
-        source.splitter.take_partial();
         let backup = source.in_flight.backup.take();
         drop(source);
         let mut end = end;
@@ -317,8 +341,8 @@
             return Ok(());
         }
         loop {
-            let Some(last_id) = self.last_id else {
-                return Err("the events have no ids".into());
+            let Some(last_id) = self.position.resume_id() else {
+                return Err("the ids do not state where to continue".into());
             };
             let step = self.progress.ended(end);
             if !forward::may_retry(&shared, &self.job, step) {
@@ -335,7 +359,7 @@
             );
             match sent.await {
                 Err(_) => return Err("the request's time is over".into()),
-                Ok(Ok((response, connection))) if is_event_stream(&response) => {
+                Ok(Ok((response, connection))) if continues_stream(&response) => {
                     self.switch_source(response, connection, in_flight);
                     return Ok(());
                 }
@@ -355,7 +379,7 @@
     /// request at another target, because it remains the same run.
     async fn continue_from_backup(&mut self, backup: &Backup) -> bool {
         let shared = self.context.shared.clone();
-        let Some(after) = self.last_id else {
+        let Some(after) = self.position.resume_id() else {
             return false;
         };
         let retry = NextStep::Retry { uses_budget: true };
@@ -374,7 +398,7 @@
         let sent = attempt::send(&self.context, &self.job, &in_flight, work);
         let (end, reason) = match timeout_at(self.job.expires_at, sent).await {
             Err(_) => return false,
-            Ok(Ok((response, connection))) if is_event_stream(&response) => {
+            Ok(Ok((response, connection))) if continues_stream(&response) => {
                 self.switch_source(response, connection, in_flight);
                 return true;
             }
@@ -401,7 +425,7 @@
             body: response.into_body(),
             connection,
             in_flight,
-            splitter: EventSplitter::default(),
+            splitter: EventSplitter::after(self.position),
         });
     }
 
@@ -417,11 +441,15 @@
             route = self.job.route().name.as_str(),
             reason = "cut_off",
             cause = reason,
-            last_event = self.last_id,
+            last_event = self.position.last_id(),
             after_ms = millis(self.job.arrived_at.elapsed())
         );
         // An error from here would make ntex write an error response into the middle of the body.
         self.job.close_connection();
-        std::future::pending().await
+        // Buffered events are sent first. ntex may not wake this task when that is done, because an
+        // earlier event that filled its buffer has used up the waker.
+        loop {
+            sleep(CLOSE_CHECK_INTERVAL).await;
+        }
     }
 }
