--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -151,7 +151,9 @@
     if !status.is_success() {
         return Err(status_error(status, &response, &bytes));
     }
-    let body = serde_json::from_slice(&bytes).map_err(|e| CallError::Malformed(e.to_string()))?;
+    // In a list with items of several writers, invalid bytes in one must not hide the others.
+    let text = String::from_utf8_lossy(&bytes);
+    let body = serde_json::from_str(&text).map_err(|e| CallError::Malformed(e.to_string()))?;
     Ok(JsonResponse {
         code: status.as_u16(),
         body,
