Use only servers that a request can be sent to by name

An entry with port 0, a broadcast or multicast address, 0.0.0.0, or an id that a header cannot carry was used as a server. An attempt at such an address fails and counts against the attempts and the budget of a request. A request to a server whose id has, for example, a line break was sent without the name of the server, so that any server at that address would run it.

decode_target now requires the address of a single host, an id of visible ASCII characters, and names of at most 200 bytes without control characters.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod duties;
 mod events;
 mod forward;
+mod host_address;
 mod in_flight;
 mod job;
 mod message;
@@ -38,4 +39,5 @@
 };
 pub use config::{GatewayConfig, GatewayDuty, ListenAddresses, StreamGaps};
 pub use decision_log::write_json;
+pub use host_address::is_host_address;
 pub use server::run;
