Send no request without a header that the gateway must set

A header whose value cannot be sent was left out without notice, among them the name of the target and that of the tenant. A request of a tenant whose name has a control character was run without a tenant.

Job::request now returns an error that names the header. The attempt ends as not sent, so the caller is told that the request did not run.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -94,6 +94,10 @@
     let runs_once = job.repeatability() != Repeatability::Idempotent && !work.is_prefill();
     let limit = connection_limit(shared, job);
     let target = &placement.target;
+    let backup = in_flight.backup.as_ref();
+    let request = job
+        .request::<A>(placement, work, backup.map(|b| b.address.as_str()))
+        .map_err(|error| (AttemptEnd::NotSent, error.to_string()))?;
     let connected = context
         .pool
         .connect(placement.key, &target.address, runs_once, limit)
@@ -102,8 +106,6 @@
         Ok(connection) => connection,
         Err(error) => return Err(record_send_error(context, in_flight, error)),
     };
-    let backup = in_flight.backup.as_ref();
-    let request = job.request::<A>(placement, work, backup.map(|b| b.address.as_str()));
     let sent_at = shared.now();
     record_limited_send(shared, placement, &work);
     let response = match connection.send(request).await {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -1,6 +1,7 @@
 //! An accepted request: its route, its tenant, and the request that is sent to a target.
 
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -75,6 +76,21 @@
     pub(crate) current_target: RefCell<String>,
 }
 
+/// A header of the gateway whose value cannot be sent. Without it, the request could be run by
+/// another target or for another tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct UnsendableHeader(&'static str);
+
+impl fmt::Display for UnsendableHeader {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = self.0;
+        write!(
+            f,
+            "value of {name} cannot be sent; remove its control characters"
+        )
+    }
+}
+
 pub(crate) type AcceptError = (String, Refusal);
 
 pub(crate) async fn accept<A: Adapters>(
@@ -306,7 +322,7 @@
         placement: &Placement,
         work: Work<'_>,
         backup: Option<&str>,
-    ) -> Request<Full<Bytes>> {
+    ) -> Result<Request<Full<Bytes>>, UnsendableHeader> {
         let outgoing = Outgoing {
             time_left: self.expires_at.saturating_duration_since(Instant::now()),
             target_id: &placement.target.id,
@@ -324,11 +340,10 @@
             headers.insert(header::HOST, host);
         }
         for (name, value) in A::Wire::outgoing(&outgoing) {
-            if let Ok(value) = http::HeaderValue::from_str(&value) {
-                headers.insert(http::HeaderName::from_static(name), value);
-            }
+            let value = http::HeaderValue::from_str(&value).map_err(|_| UnsendableHeader(name))?;
+            headers.insert(http::HeaderName::from_static(name), value);
         }
-        request
+        Ok(request)
     }
 
     /// Closes the caller's connection, so that an interrupted stream does not look complete.
