Ignore entries of vms that name no usable address or capacity

The address for callers of an entry in the list of vms was given to callers as it was, whether it was an address or not.

An entry now needs two addresses of single hosts, a zone of at most 200 bytes and a capacity of at most 1000 cores.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! Control tasks: replication of the store, exchange with other vms, membership and clean-up.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use jujubebeam_core::Machine;
@@ -13,6 +14,7 @@
 use crate::adapters::{Adapters, StoreApi, StoredSettings, WatchReply, Wire};
 use crate::decision_log::{DecisionKind, decision, millis};
 use crate::duties;
+use crate::host_address::is_host_address;
 use crate::message::Message;
 use crate::owner;
 use crate::peers;
@@ -61,6 +63,13 @@
 /// Prefix of the keys of the vms' entries.
 const VMS_PREFIX: &str = "vms/";
 
+/// Longest zone of a vm, which other vms receive with its record.
+const MAX_ZONE_BYTES: usize = 200;
+
+/// Largest capacity of a vm. A larger one by mistake would make all other vms too small to
+/// coordinate work.
+const MAX_MILLICORES: u32 = 1_000_000;
+
 /// Entry of a vm in the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct VmEntry {
@@ -435,8 +444,13 @@
 
 fn record(value: &[u8]) -> Option<Record> {
     let listed: VmEntry = serde_json::from_slice(value).ok()?;
-    Some(Record {
-        vm: vm_id_of(listed.peer_address.parse().ok()?),
+    let peer_address = host_address(&listed.peer_address)?;
+    // Callers are sent to this address.
+    host_address(&listed.caller_address)?;
+    let is_plausible =
+        listed.zone.len() <= MAX_ZONE_BYTES && listed.capacity_millicores <= MAX_MILLICORES;
+    is_plausible.then(|| Record {
+        vm: vm_id_of(peer_address),
         zone: listed.zone,
         capacity_millicores: listed.capacity_millicores,
         caller_address: listed.caller_address,
@@ -446,6 +460,11 @@
     })
 }
 
+fn host_address(text: &str) -> Option<SocketAddr> {
+    let address = text.parse().ok()?;
+    is_host_address(&address).then_some(address)
+}
+
 async fn keep_registered<A: Adapters>(
     context: &Context<A>,
     lease: Option<LeaseId>,
