Use no target with an address of the vm itself

An entry with the caller address of a vm made this vm send requests to itself, again and again until their deadline; one with another of its addresses got answers that are no target's, which counted as run. Callers got 502.

apply_targets now omits targets with an address on which the vm listens. The addresses of other vms are not compared, because an invalid entry in the list of vms could then hide a server.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -113,6 +113,15 @@
     pub metrics: Option<SocketAddr>,
 }
 
+impl ListenAddresses {
+    /// Whether an address is one of these.
+    pub(crate) fn contains(&self, address: &str) -> bool {
+        let fixed = [self.callers, self.readiness, self.addresses, self.peers];
+        let parsed = address.parse().ok();
+        parsed.is_some_and(|parsed| fixed.contains(&parsed) || self.metrics == Some(parsed))
+    }
+}
+
 /// A duty that is performed by one vm at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -348,7 +348,10 @@
     let (complete, entries): (_, Vec<_>) = {
         let mirrors = shared.mirrors();
         let items = mirrors.targets.items();
-        let entries = items.filter_map(|(key, at, value)| A::Wire::target(key, value, at));
+        let entries = items
+            .filter_map(|(key, at, value)| A::Wire::target(key, value, at))
+            // A request to one of its own addresses would come back to this vm.
+            .filter(|target| !shared.config.listen.contains(&target.address));
         (mirrors.targets.complete(), entries.collect())
     };
     let Some(complete) = complete else {
