Log the keys of entries that describe no usable target

Entries of other writers were ignored without a line in the log, so an operator could not find the writer.

An entry that is written again is not logged again.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! Control tasks: replication of the store, exchange with other vms, membership and clean-up.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 use crate::owner;
 use crate::peers;
 use crate::server::Context;
-use crate::state::{vm_id_of, wall_clock};
+use crate::state::{Shared, vm_id_of, wall_clock};
 
 /// Interval between ticks of the state machines.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -345,18 +346,25 @@
 
 fn apply_targets<A: Adapters>(context: &Context<A>) {
     let shared = &context.shared;
+    let mut invalid_keys = BTreeSet::new();
     let (complete, entries): (_, Vec<_>) = {
         let mirrors = shared.mirrors();
         let items = mirrors.targets.items();
-        let entries = items
-            .filter_map(|(key, at, value)| A::Wire::target(key, value, at))
+        let entries = items.filter_map(|(key, at, value)| {
+            let target = A::Wire::target(key, value, at);
             // A request to one of its own addresses would come back to this vm.
-            .filter(|target| !shared.config.listen.contains(&target.address));
+            let target = target.filter(|target| !shared.config.listen.contains(&target.address));
+            if target.is_none() {
+                invalid_keys.insert(key.to_owned());
+            }
+            target
+        });
         (mirrors.targets.complete(), entries.collect())
     };
     let Some(complete) = complete else {
         return;
     };
+    log_invalid_entries(shared, invalid_keys);
     let count = entries.len();
     let grace = shared.reappear_grace();
     let now = shared.now();
@@ -375,6 +383,20 @@
     );
 }
 
+/// Logs the keys of entries that have newly become unusable.
+fn log_invalid_entries(shared: &Shared, keys: BTreeSet<String>) {
+    let count = keys.len();
+    if let Some(keys) = shared.invalid_entries.replace(keys) {
+        decision!(
+            shared,
+            DecisionKind::InvalidEntries,
+            entries = count,
+            keys:% = keys,
+            outcome = "ignored"
+        );
+    }
+}
+
 /// Queries random vms for updates, one per interval.
 async fn poll_peers<A: Adapters>(context: &Context<A>) {
     let shared = &context.shared;
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -34,6 +34,8 @@
     Settings,
     /// The list of targets was updated.
     Targets,
+    /// Entries were found that describe no usable target.
+    InvalidEntries,
     /// A target sent a notice about itself.
     Notice,
     /// An engine was queried for the prompt parts that it caches.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod forward;
 mod host_address;
 mod in_flight;
+mod invalid_entries;
 mod job;
 mod message;
 mod metrics;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use crate::config::GatewayConfig;
 use crate::decision_log::DecisionLog;
 use crate::duties::Order;
+use crate::invalid_entries::InvalidEntries;
 use crate::metrics::Metrics;
 use crate::owner::PromptEnds;
 
@@ -98,6 +99,8 @@
     quarantine: Mutex<Quarantine>,
     start_gate: Mutex<StartGate>,
     unresponsive_owners: Mutex<UnresponsiveOwners>,
+    /// Entries that describe no usable target.
+    pub(crate) invalid_entries: InvalidEntries,
     /// Ended prompts that are to be reported to their owners.
     pub(crate) prompt_ends: PromptEnds,
     /// Monotonic time in milliseconds at which this vm started to leave, or 0.
@@ -181,6 +184,7 @@
                 permits: Permits::new(permits),
             }),
             unresponsive_owners: Mutex::default(),
+            invalid_entries: InvalidEntries::default(),
             prompt_ends: PromptEnds::default(),
             mirrors: Mutex::default(),
             budget: Mutex::new(ArrivalBudget::new(budget)),
