Add the numbers of a target's load report without overflow

The numbers of running and waiting requests that an engine reports were added as integers of their own size. The time of a copy between engines panicked for sizes and speeds beyond the longest time.

Sums of slots do not occur: slots are only used as floating-point numbers.

--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -1016,7 +1016,9 @@
             Stage::Prefill => report.running,
             Stage::Decode => 0,
         };
-        let reported_ms = f64::from(report.waiting + running) * config.engine_wait_per_request_ms;
+        // The numbers are those of the target, so their sum may exceed an integer of their size.
+        let requests = f64::from(report.waiting) + f64::from(running);
+        let reported_ms = requests * config.engine_wait_per_request_ms;
         let delay_ms = state.map_or(0.0, |s| s.delay_ms(now)) * config.last_delay_weight;
         reported_ms.max(delay_ms)
     }
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -77,6 +77,9 @@
     pub link_mbps: u64,
 }
 
+/// Longest predicted time of a copy. No request waits for as long.
+const MAX_COPY_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 impl EngineLimits {
     /// Time to copy tokens from one engine to another, if the link speed is known. A copy between
     /// zones takes twice as long.
@@ -84,7 +87,8 @@
         let bits = tokens as f64 * self.token_bytes as f64 * 8.0;
         let bits = if is_other_zone { bits * 2.0 } else { bits };
         let has_link = self.link_mbps > 0 && self.token_bytes > 0;
-        has_link.then(|| Duration::from_secs_f64(bits / (self.link_mbps as f64 * 1e6)))
+        let seconds = bits / (self.link_mbps as f64 * 1e6);
+        has_link.then(|| Duration::from_secs_f64(seconds.min(MAX_COPY_TIME.as_secs_f64())))
     }
 }
 
--- a/crates/core/tests/gateway_decisions.rs
+++ b/crates/core/tests/gateway_decisions.rs
@@ -313,6 +313,46 @@
     assert!(placer.place(&catalog, &prefill, SECOND * 2).is_ok());
 }
 
+/// Guards against numbers of a target whose sum overflows: the placement would fail, or the target
+/// would look idle.
+#[test]
+fn the_largest_reported_load_is_a_long_wait() {
+    let catalog = engines();
+    let mut placer = Placer::new(PlacementConfig::default());
+    // A single vm knows the load from its own requests.
+    placer.set_vms(4);
+    let prefill = PlacementRequest {
+        stage: Some(Stage::Prefill),
+        ..request(&PROMPT, 60_000)
+    };
+    let placed = placer.place(&catalog, &prefill, SECOND).unwrap();
+    let report = LoadReport {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: u32::MAX,
+    };
+    placer.first_byte(&placed, Some(report), SECOND);
+    placer.finished(&placed, SECOND);
+    for _ in 0..8 {
+        let other = placer.place(&catalog, &prefill, SECOND).unwrap();
+        assert_ne!(other.target.id, placed.target.id);
+    }
+}
+
+/// Guards against settings whose numbers exceed the longest time of this program.
+#[test]
+fn the_time_of_a_copy_is_bounded() {
+    let engine = EngineLimits {
+        slots: u32::MAX,
+        memory_tokens: u64::MAX,
+        token_bytes: u64::MAX,
+        link_mbps: 1,
+    };
+    let time = engine.copy_time(u64::MAX, true).unwrap();
+    assert!(time > SECOND * 3600);
+    assert!(time.checked_mul(1000).is_some());
+}
+
 /// Guards against a failing target that gets every second request as long as its health check
 /// passes.
 #[test]
