--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -36,6 +36,8 @@
     Targets,
     /// A target stopped accepting work, or will soon.
     TargetChange,
+    /// Entries were found that describe no usable target.
+    InvalidEntries,
     /// A target sent a notice about itself.
     Notice,
     /// An engine was queried for the prompt parts that it caches.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,9 @@
 mod duties;
 mod events;
 mod forward;
+mod host_address;
 mod in_flight;
+mod invalid_entries;
 mod job;
 mod message;
 mod metrics;
@@ -39,4 +41,5 @@
 };
 pub use config::{GatewayConfig, GatewayDuty, ListenAddresses, ReplicationConfig, StreamGaps};
 pub use decision_log::write_json;
+pub use host_address::is_host_address;
 pub use server::run;
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -1,5 +1,6 @@
 //! Replication of the settings and the list of targets: from the store, and from other vms.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use jujubebeam_core::VmId;
@@ -375,15 +376,25 @@
 
 fn apply_targets<A: Adapters>(context: &Context<A>, source: Source) {
     let shared = &context.shared;
+    let mut invalid_keys = BTreeSet::new();
     let (complete, entries): (_, Vec<_>) = {
         let replicas = shared.replicas();
         let items = replicas.targets.mirror.items();
-        let entries = items.filter_map(|(key, at, value)| A::Wire::target(key, value, at));
+        let entries = items.filter_map(|(key, at, value)| {
+            let target = A::Wire::target(key, value, at);
+            // A request to one of its own addresses would come back to this vm.
+            let target = target.filter(|target| !shared.config.listen.contains(&target.address));
+            if target.is_none() {
+                invalid_keys.insert(key.to_owned());
+            }
+            target
+        });
         (replicas.targets.mirror.complete(), entries.collect())
     };
     let Some(complete) = complete else {
         return;
     };
+    log_invalid_entries(shared, invalid_keys);
     let count = entries.len();
     let now = shared.now();
     let grace = shared.reappear_grace(now);
@@ -402,6 +413,20 @@
     );
 }
 
+/// Logs the keys of entries that have newly become unusable.
+fn log_invalid_entries(shared: &Shared, keys: BTreeSet<String>) {
+    let count = keys.len();
+    if let Some(keys) = shared.invalid_entries.replace(keys) {
+        decision!(
+            shared,
+            DecisionKind::InvalidEntries,
+            entries = count,
+            keys:% = keys,
+            outcome = "ignored"
+        );
+    }
+}
+
 /// Logs the targets that stop accepting work.
 pub(crate) fn record_changes(
     shared: &Shared,
