Check the age of a replica only when a step may be due

The check ran ten times a second on each vm. The time until a step is due is known: the replica only becomes younger before.

--- a/crates/core/src/gateway/refresh.rs
+++ b/crates/core/src/gateway/refresh.rs
@@ -41,6 +41,12 @@
         Self { bound }
     }
 
+    /// Time until a step is due for a replica of this age, if it is not confirmed before.
+    pub fn time_to_step(&self, age: Option<Duration>) -> Duration {
+        let due = self.bound.mul_f64(QUERY_RATIO);
+        age.map_or(Duration::ZERO, |age| due.saturating_sub(age))
+    }
+
     /// Step for a replica of this age. A replica that was never confirmed has none.
     pub fn step(&self, age: Option<Duration>) -> RefreshStep {
         let reached = |ratio| age.is_none_or(|age| age >= self.bound.mul_f64(ratio));
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -36,7 +36,7 @@
 /// connection is noticed soon after this time.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 
-/// Interval between checks of the ages of the replicas.
+/// Shortest interval between checks of the age of a replica.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Shortest interval between two queries to watchers, and between two reads of the store, because of
@@ -232,8 +232,9 @@
     let policy = shared.config.replication.refresh_policy(kind);
     let mut selector = PeerSelector::new(u64::from(shared.vm.0) ^ !shared.incarnation.0);
     let mut called_at = Duration::ZERO;
+    let mut pause = REFRESH_INTERVAL;
     loop {
-        sleep(REFRESH_INTERVAL).await;
+        sleep(pause).await;
         let now = shared.now();
         let (age, is_read) = {
             let replicas = shared.replicas();
@@ -243,6 +244,7 @@
                 replica.mirror.complete().is_some(),
             )
         };
+        pause = policy.time_to_step(age).max(REFRESH_INTERVAL);
         let step = policy.step(age);
         // A replica that was never read is listed, and compared with those of other vms.
         if step == RefreshStep::Wait || !is_read || now < called_at + REFRESH_CALL_INTERVAL {
