Verify that a target accepts work right before the send

Callers: requests could reach a target that had left between its choice and the send. A permit, the reply of the owner of the service and a new connection lie in between; a connection alone may take 0.5 s.

The choice was not verified again. It now is, for every kind of work, as all sends pass attempt::send; the request then counts as not sent and is placed elsewhere. A computed prompt whose answer was not sent keeps its handle for the next target. Stage orders are verified after their announcement.

This has no test of its own: over loopback no connection takes long enough to show it. The request is built after the connection is open, so that its deadline is the remaining time.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -99,10 +99,6 @@
     };
     let limit = connection_limit(shared, job);
     let target = &placement.target;
-    let backup = in_flight.backup.as_ref();
-    let request = job
-        .request::<A>(placement, work, backup.map(|b| b.address.as_str()))
-        .map_err(|error| (AttemptEnd::NotSent, error.to_string()))?;
     let connected = context
         .pool
         .connect(placement.key, &target.address, pooled, limit)
@@ -111,6 +107,16 @@
         Ok(connection) => connection,
         Err(error) => return Err(record_send_error(context, in_flight, error)),
     };
+    // A permit, the owner of the service and a new connection may have taken a while.
+    if !shared.fleet().catalog.is_usable(placement.key) {
+        let reason = "target stopped accepting work before the send".to_owned();
+        return Err((AttemptEnd::NotSent, reason));
+    }
+    // The request has the remaining time, so it is built last.
+    let backup = in_flight.backup.as_ref();
+    let request = job
+        .request::<A>(placement, work, backup.map(|b| b.address.as_str()))
+        .map_err(|error| (AttemptEnd::NotSent, error.to_string()))?;
     let sent_at = shared.now();
     record_limited_send(shared, placement, &work);
     let response = match connection.send(request).await {
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -242,6 +242,9 @@
             };
             peers::broadcast(context, &message);
             sleep(BROADCAST_DELAY).await;
+            if !shared.fleet().catalog.is_usable(key) {
+                return SendResult::Rejected;
+            }
             let answer = client.order_stage(authorised(), &found, *stage).await;
             notice::apply_notice(context, key, &found, answer.notice);
             // Answers to orders may lack a limit that other answers state.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -169,7 +169,9 @@
         let key = in_flight.placement.key;
         let target = in_flight.placement.target.id.clone();
         let ended = attempt(context, job, in_flight, work).await;
-        prompt.consume();
+        if !matches!(ended, AttemptResult::Failed(AttemptEnd::NotSent, _)) {
+            prompt.consume();
+        }
         let (end, reason) = match ended {
             AttemptResult::Complete(answer) if !is_worth_retrying(&answer, job) => {
                 return forward_answer(context, job, answer);
