Reject a head that is joined from those of two answers

Callers saw "not run, retry" for charges that the target ran, or the status of another answer, if a faulty target truncated the duplicate of an earlier answer on a kept connection. No id needs to be used twice for this.

Cause: if the duplicate ends within a line of its head, the answer to the next request continues that line. The parser sees one head, with the status or the statement of the duplicate and the id of the answer itself:

HTTP/1.1 503 Busy X-Not-Executed: 1HTTP/1.1 200 OK X-Attempt-Id: (the waiting request's)

Such a head contains the status line of the second answer, in its reason phrase or in the value of a header; at any other cut the parser fails already. A head with a status line inside is now an answer of another request: its connection is closed, and the request may have run (502).

A complete head that quotes a status line would be rejected too; a version alone, such as in Via, would not.

Ruled out: checking the value of the statement. It finds only one of the joined lines, and the status 421 counts as a statement by itself.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -28,7 +28,7 @@
 mod usage_window;
 
 pub use admission::Admission;
-pub use answer_check::{AnswerClaim, AnswerVerdict, check_answer};
+pub use answer_check::{AnswerClaim, AnswerVerdict, check_answer, contains_status_line};
 pub use budget::{ArrivalBudget, ArrivalBudgetConfig};
 pub use carried_attempts::CarriedAttempts;
 pub use catalog::{Catalog, CatalogTarget, Stage, TargetKey, TargetPhase};
--- a/crates/core/src/gateway/answer_check.rs
+++ b/crates/core/src/gateway/answer_check.rs
@@ -4,6 +4,10 @@
 //! request. The echoed id distinguishes the two, because a connection carries each attempt once; see
 //! [`CarriedAttempts`](super::CarriedAttempts). An answer without an id is accepted only on a
 //! connection that carried no request before, where a duplicate of another answer cannot arrive.
+//!
+//! A target may also truncate the duplicate. If it ends within a line of its head, the next answer
+//! continues that line, and the joined head may have the status or the statement of the one and the
+//! id of the other. It contains the status line of the next answer, which no complete head does.
 
 /// Properties of the head of an answer and of its connection.
 #[derive(Clone, Copy, Debug)]
@@ -12,6 +16,8 @@
     pub request_id: &'a str,
     /// Id that the answer echoes.
     pub echoed_id: Option<&'a str>,
+    /// Whether the head is joined from those of two answers.
+    pub is_joined: bool,
     /// Whether the connection carried no request before this one.
     pub is_first_on_connection: bool,
     /// Whether the answer states that the target did not run the request.
@@ -46,7 +52,7 @@
         Some(id) => id == claim.request_id,
         None => claim.is_first_on_connection && (claim.is_not_run || claim.is_prompt),
     };
-    if !is_own {
+    if claim.is_joined || !is_own {
         return AnswerVerdict::OfAnotherRequest;
     }
     if claim.is_not_run {
@@ -58,3 +64,15 @@
     }
     AnswerVerdict::Own
 }
+
+/// Whether the reason phrase or the value of a header contains the status line of another answer:
+/// `HTTP/1.`, a digit, a space and three digits.
+pub fn contains_status_line(text: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    text.windows(VERSION.len() + 5).any(|window| {
+        let (version, rest) = window.split_at(VERSION.len());
+        version == VERSION
+            && matches!(rest, [minor, b' ', status @ ..]
+                if minor.is_ascii_digit() && status.iter().all(u8::is_ascii_digit))
+    })
+}
--- a/crates/core/tests/gateway_answers.rs
+++ b/crates/core/tests/gateway_answers.rs
@@ -38,6 +38,7 @@
     AnswerClaim {
         request_id,
         echoed_id: Some(&answer.id),
+        is_joined: false,
         is_first_on_connection: carried.is_first(),
         is_not_run: answer.is_not_run,
         is_prompt: false,
@@ -103,3 +104,34 @@
     assert!(carried.is_full());
     assert!((0..count).all(|number| !carried.may_carry(&format!("attempt-{number}"))));
 }
+
+/// Guards against accepting a head that continues a truncated one, and against rejecting a complete
+/// head that names a protocol.
+#[test]
+fn only_a_joined_head_contains_a_status_line() {
+    for joined in ["1HTTP/1.1 200 OK", "MisdirHTTP/1.0 503", "HTTP/1.1 200 "] {
+        assert!(contains_status_line(joined.as_bytes()), "{joined}");
+    }
+    for complete in [
+        "",
+        "1",
+        "HTTP/1.1",
+        "HTTP/1.1 proxy",
+        "HTTP/2 200",
+        "HTTP/1.1 20",
+    ] {
+        assert!(!contains_status_line(complete.as_bytes()), "{complete}");
+    }
+    let joined = Written {
+        request: 0,
+        id: "attempt".into(),
+        is_not_run: true,
+    };
+    let mut carried = CarriedAttempts::default();
+    carried.record("attempt");
+    let claim = AnswerClaim {
+        is_joined: true,
+        ..claim("attempt", &joined, &carried)
+    };
+    assert_eq!(check_answer(&claim), AnswerVerdict::OfAnotherRequest);
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,8 +7,10 @@
 use bytes::Bytes;
 use http::{Response, header};
 use http_body_util::BodyExt;
+use hyper::ext::ReasonPhrase;
 use jujubebeam_core::gateway::{
     AnswerClaim, AnswerVerdict, AttemptEnd, Placement, Repeatability, check_answer,
+    contains_status_line,
 };
 use jujubebeam_core::quarantine::{QuarantineCommand, QuarantineEvent, Verdict};
 use jujubebeam_core::{Machine, TargetId};
@@ -154,6 +156,7 @@
     let claim = AnswerClaim {
         request_id: &job.incoming.attempt_id,
         echoed_id: head.attempt_id.as_deref(),
+        is_joined: is_joined_head(&response),
         is_first_on_connection: connection.is_first_exchange(),
         is_not_run: head.not_run,
         is_prompt: sent.work.is_prefill(),
@@ -196,6 +199,14 @@
     }
 }
 
+/// Whether a line of the head was continued by the head of another answer.
+fn is_joined_head(response: &Response<hyper::body::Incoming>) -> bool {
+    let reason = response.extensions().get::<ReasonPhrase>();
+    let is_joined_reason = reason.is_some_and(|reason| contains_status_line(reason.as_bytes()));
+    let mut values = response.headers().values();
+    is_joined_reason || values.any(|value| contains_status_line(value.as_bytes()))
+}
+
 /// Reads the body of a refusal so that its connection can be reused. Returns false if the body is
 /// too long or does not arrive at once, because the caller is waiting for an answer.
 async fn drain_refusal(body: hyper::body::Incoming) -> bool {
