--- a/crates/jujubebeam/tests/stopped_watchers.rs
+++ b/crates/jujubebeam/tests/stopped_watchers.rs
@@ -15,8 +15,8 @@
 use fleet::{Fleet, PLAIN_SERVERS};
 use support::Call;
 
-/// `drain-timeout-ms` of the large site: no request may reach a target later than this after the store
-/// has acknowledged that the target leaves.
+/// `drain-timeout-ms` of the large site: no request may reach a target later than this after the
+/// store has acknowledged that the target leaves.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Time after [`DRAIN_TIMEOUT`] for which late requests are counted.
@@ -33,8 +33,8 @@
 
 const CALL_PAUSE: Duration = Duration::from_millis(30);
 
-/// Guards against vms that send requests to a removed target because the vms that watch the store for
-/// them are stopped, and not detected as stopped in time.
+/// Guards against vms that send requests to a removed target because the vms that watch the store
+/// for them are stopped, and not detected as stopped in time.
 #[test]
 fn a_removed_target_gets_no_late_request_while_the_watchers_are_stopped() {
     let fleet = Fleet::with_vms(VMS);
