End a stream when its caller leaves after large events

A target worked on for a caller that had left, until its next event or the timeout of the request: the end of the caller's connection did not reach the stream. ntex wakes its dispatcher through a waker that backpressure on the write buffer had used up, as in the case of a stream that breaks off.

The stream now also waits for the end of the caller's connection. That wakes the task of the dispatcher, which then drops the stream.

a_caller_that_leaves_after_large_events_ends_its_stream failed before: the connection to the target was closed 4.0 s after the caller's, at the deadline of the request. The bound is 0.5 s.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -15,7 +15,7 @@
 };
 use jujubebeam_core::quarantine::Fingerprint;
 use ntex::http::StatusCode;
-use ntex::io::IoRef;
+use ntex::io::{IoRef, OnDisconnect};
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
 use smallvec::SmallVec;
@@ -338,6 +338,11 @@
         }
     }
 
+    /// Completes when the caller's connection has ended.
+    pub(crate) fn on_disconnect(&self) -> Option<OnDisconnect> {
+        self.io.as_ref().map(IoRef::on_disconnect)
+    }
+
     /// Time from the arrival of the request to the start of the answer.
     pub(crate) fn time_to_response(&self) -> Option<Duration> {
         let response_began_at = self.response_began_at.get()?;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,10 +2,12 @@
 //! where the route allows it.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::OptionFuture;
 use futures_util::stream::unfold;
 use http::{Response, StatusCode, header};
 use http_body_util::BodyExt;
@@ -221,6 +223,7 @@
     let mut builder = attempt::head(&events.parts);
     let progress = RequestProgress::new(job.repeatability(), job.route().max_attempts);
     let pause_limit = pause_limit(context, &job, &events.source.in_flight);
+    let disconnected = OptionFuture::from(job.on_disconnect());
     let relay = StreamRelay {
         context: context.clone(),
         first: Some(events.first),
@@ -237,10 +240,20 @@
         _running: context.track_running(),
         job,
     };
-    builder.streaming(Box::pin(unfold(relay, |mut relay| async move {
-        let item = relay.next().await?;
-        Some((item, relay))
-    })))
+    let state = (relay, disconnected);
+    builder.streaming(Box::pin(unfold(
+        state,
+        |(mut relay, mut left)| async move {
+            let item = tokio::select! {
+                biased;
+                item = relay.next() => item?,
+                // ntex drops the stream when its task is polled. It may not wake the task itself,
+                // because an event that filled the buffer of the connection has used up the waker.
+                Some(()) = &mut left => pending().await,
+            };
+            Some((item, (relay, left)))
+        },
+    )))
 }
 
 /// Time without an event after which a stream counts as stalled. It is shorter if the stream can
