--- a/crates/jujubebeam/tests/gateway_soak/planned_work.rs
+++ b/crates/jujubebeam/tests/gateway_soak/planned_work.rs
@@ -452,7 +452,7 @@
     let mut random = SmallRng::seed_from_u64(seed ^ (number as u64 + 1) << 32);
     let mut kept: HashMap<usize, (TcpStream, u32)> = HashMap::new();
     let mut requests = Vec::new();
-    let (keeps, pauses) = (number % 4 != 0, number % 4 == 1);
+    let (keeps, pauses) = (!number.is_multiple_of(4), number % 4 == 1);
     while !stop.load(Ordering::SeqCst) {
         std::thread::sleep(Duration::from_millis(random.random_range(0..10)));
         let vm = random.random_range(0..play.fleet.vms.len());
