Keep a silent target of a stream if no other one can continue it

Callers of a resumable stream lost it 1 s after its last event, although they wait for 2 s and the target went on after 1.5 s. Cause: a stream without an event for half of that time is moved to another target, and the relay dropped its target before it knew whether another one could be chosen. Without one (no other target, no retry budget, no attempt left) the stream was cut.

Evidence: a_silent_target_goes_on_if_no_other_one_may fails before the change (cut after event 2, "no event for 1000 ms") and passes with it; the other tests of stalls and streams pass.

The next target is now chosen first. If there is none, the relay goes on with the silent target until the caller would disconnect, and keeps the received part of an incomplete event. The target is still dropped before the request is sent to the next one, so both never run it at the same time.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -170,6 +170,8 @@
     /// reached.
     pause_limit: Duration,
     stalled_at: Instant,
+    /// Whether the stream has stalled without another target to continue it.
+    is_silent: bool,
     /// When something was last forwarded to the caller.
     last_sent_at: Instant,
     is_done: bool,
@@ -212,6 +214,7 @@
         longest_pause: Duration::ZERO,
         pause_limit,
         stalled_at: Instant::now() + pause_limit,
+        is_silent: false,
         last_sent_at: Instant::now(),
         is_done: false,
         _running: context.track_running(),
@@ -256,6 +259,7 @@
                     self.longest_pause = self.longest_pause.max(self.last_event_at.elapsed());
                     self.last_event_at = Instant::now();
                     self.stalled_at = self.last_event_at + self.pause_limit;
+                    self.is_silent = false;
                     self.last_sent_at = self.last_event_at;
                     return Some(Ok(NtexBytes::copy_from_slice(&events)));
                 }
@@ -269,15 +273,21 @@
                 }
                 Ok(StreamItem::Broken(reason)) => {
                     source.record_break(&self.context, &self.job);
-                    if let Err(reason) = self.resume(&reason).await {
+                    if let Err(reason) = self.resume(&reason, false).await {
                         return self.abort(&reason).await;
                     }
                 }
                 Ok(StreamItem::Comment(_) | StreamItem::Stalled) => {
                     source.record_failure(&self.context);
                     let reason = format!("no event for {} ms", self.pause_limit.as_millis());
-                    if let Err(cause) = self.resume(&reason).await {
-                        return self.abort(&format!("{reason}; {cause}")).await;
+                    let longer = self.caller_wait().saturating_sub(self.pause_limit);
+                    let keeps_target = !self.is_silent && longer > Duration::ZERO;
+                    if let Err(cause) = self.resume(&reason, keeps_target).await {
+                        if self.source.is_none() {
+                            return self.abort(&format!("{reason}; {cause}")).await;
+                        }
+                        self.is_silent = true;
+                        self.stalled_at += longer;
                     }
                 }
             }
@@ -295,38 +305,52 @@
         record_answer(&self.context.shared, &self.job, 200, pause);
     }
 
-    /// Continues at another target after the last complete event.
-    async fn resume(&mut self, reason: &str) -> Result<(), String> {
+    /// Time without an event after which the caller disconnects.
+    fn caller_wait(&self) -> Duration {
+        let limits = self.context.shared.config.pause_limits();
+        stall_timeout(self.job.route(), Repeatability::Once, limits)
+    }
+
+    /// Continues at another target after the last complete event. If no other target can be chosen,
+    /// `keeps_target` keeps the one that is silent, because it may still go on while the caller
+    /// waits.
+    async fn resume(&mut self, reason: &str, keeps_target: bool) -> Result<(), String> {
         let Some(mut source) = self.source.take() else {
             return Err("no target continues the stream".into());
         };
         let shared = self.context.shared.clone();
         let key = source.in_flight.placement.key;
         let target = source.in_flight.placement.target.id.clone();
-        let end = AttemptEnd::BrokenMidway;
+        let mut end = AttemptEnd::BrokenMidway;
+        self.excluded.push(key);
+        let backup = source.in_flight.backup.take();
+        let mut chosen = None;
+        if keeps_target && backup.is_none() {
+            let progress = self.progress;
+            match self.choose_next(end).await {
+                Ok(next) => chosen = Some(next),
+                Err(cause) => {
+                    self.progress = progress;
+                    self.excluded.pop();
+                    self.source = Some(source);
+                    return Err(cause);
+                }
+            }
+        }
         record_failed_attempt(&shared, &self.job, &target, end, reason);
         // The received part of an incomplete event was not forwarded.
         source.splitter.take_partial();
-        let backup = source.in_flight.backup.take();
         drop(source);
-        let mut end = end;
-        self.excluded.push(key);
         if let Some(backup) = backup
             && self.continue_from_backup(&backup).await
         {
             return Ok(());
         }
         loop {
-            let Some(last_id) = self.last_id else {
-                return Err("the events have no ids".into());
+            let (in_flight, last_id) = match chosen.take() {
+                Some(next) => next,
+                None => self.choose_next(end).await?,
             };
-            let step = self.progress.ended(end);
-            if !forward::may_retry(&shared, &self.job, step) {
-                return Err("the stream may not be sent again".into());
-            }
-            let placed =
-                forward::place_continuation(&self.context, &self.job, &self.excluded).await;
-            let in_flight = placed.map_err(|refusal| refusal.reason.to_string())?;
             let key = in_flight.placement.key;
             let target = in_flight.placement.target.id.clone();
             let sent = timeout_at(
@@ -351,6 +375,21 @@
         }
     }
 
+    /// Chooses the next target, after an attempt ended with `end`. Returns it with the id of the last
+    /// event.
+    async fn choose_next(&mut self, end: AttemptEnd) -> Result<(InFlight, u64), String> {
+        let Some(last_id) = self.last_id else {
+            return Err("the events have no ids".into());
+        };
+        let step = self.progress.ended(end);
+        if !forward::may_retry(&self.context.shared, &self.job, step) {
+            return Err("the stream may not be sent again".into());
+        }
+        let placed = forward::place_continuation(&self.context, &self.job, &self.excluded).await;
+        let in_flight = placed.map_err(|refusal| refusal.reason.to_string())?;
+        Ok((in_flight, last_id))
+    }
+
     /// Continues at the engine that keeps a backup of the run. This needs no permission to run the
     /// request at another target, because it remains the same run.
     async fn continue_from_backup(&mut self, backup: &Backup) -> bool {
