Send a complete replica to vms that hold what a listing skipped

Callers: a vm could go on sending requests to a target that had been removed, without an end, and lose them once the target ended.

Cause: a replica that was replaced by a listing, or by a complete copy of another vm, does not know the keys that were written and removed in between. To a vm whose revision lies in that range it still sent the changes only. That vm kept such a key, took over the newer revision, and was never told again; its replica even counted as confirmed.

A replica now records the range of revisions that it skipped, sends it with each update, and sends a complete copy to vms within the range. A vm that applies an update takes over the part of the range that it skipped by that. Vms at or beyond the end of the range still get the changes only, so that large settings are not copied again and again; moving the horizon to the listing would do that for every vm that is a moment behind.

Over sockets it was not reproduced: the vms of the tests also learn of the key from each other.

--- a/crates/core/src/gateway/mirror.rs
+++ b/crates/core/src/gateway/mirror.rs
@@ -47,6 +47,37 @@
     pub is_whole: bool,
     /// The changed keys, or all keys of a complete replica.
     pub items: Vec<PackedItem>,
+    /// Revisions that the sender skipped. Earlier versions send none.
+    #[serde(default)]
+    pub skipped: Option<SkippedRevisions>,
+}
+
+/// Revisions that a replica skipped, because a listing replaced it. Keys that were written and
+/// removed between the two, both exclusive, are not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SkippedRevisions {
+    from: Revision,
+    to: Revision,
+}
+
+impl SkippedRevisions {
+    fn contains(&self, revision: Revision) -> bool {
+        self.from < revision && revision < self.to
+    }
+
+    /// The part after one revision and before another.
+    fn within(&self, from: Revision, to: Revision) -> Option<Self> {
+        let (from, to) = (self.from.max(from), self.to.min(to));
+        (from < to).then_some(Self { from, to })
+    }
+
+    /// The shortest range that contains both.
+    fn hull(&self, other: Self) -> Self {
+        Self {
+            from: self.from.min(other.from),
+            to: self.to.max(other.to),
+        }
+    }
 }
 
 /// A value, and its packed form once a peer has requested or sent it.
@@ -73,6 +104,7 @@
     removals: BTreeMap<String, Revision>,
     /// Removals at or before this revision may have been evicted.
     horizon: Revision,
+    skipped: Option<SkippedRevisions>,
 }
 
 impl Mirror {
@@ -120,12 +152,30 @@
         for item in items {
             changed |= self.apply(item);
         }
-        // Individual removals between the old replica and the listing are not known.
-        self.horizon = self.horizon.max(self.complete.unwrap_or(at));
+        match self.complete {
+            Some(complete) => self.skip(SkippedRevisions {
+                from: complete,
+                to: at,
+            }),
+            None => self.horizon = self.horizon.max(at),
+        }
         self.complete = Some(at);
         changed
     }
 
+    fn skip(&mut self, skipped: SkippedRevisions) {
+        let all = self.skipped.map_or(skipped, |known| known.hull(skipped));
+        self.skipped = Some(all);
+    }
+
+    /// Whether all removals since a revision are recorded.
+    fn knows_removals_since(&self, revision: Revision) -> bool {
+        let is_skipped = self
+            .skipped
+            .is_some_and(|skipped| skipped.contains(revision));
+        revision >= self.horizon && !is_skipped
+    }
+
     /// Applies changes that the store reported in order, up to revision `at`. Returns whether
     /// anything changed.
     pub fn advance(&mut self, items: Vec<MirrorItem>, at: Revision) -> bool {
@@ -146,7 +196,7 @@
         if peer_revision.is_some_and(|peer_revision| peer_revision >= complete) {
             return None;
         }
-        let from = peer_revision.filter(|peer_revision| *peer_revision >= self.horizon);
+        let from = peer_revision.filter(|revision| self.knows_removals_since(*revision));
         let after = from.unwrap_or_default();
         let is_whole = from.is_none();
         let live = self.items.iter();
@@ -168,6 +218,7 @@
             complete,
             is_whole,
             items,
+            skipped: self.skipped,
         })
     }
 
@@ -195,7 +246,15 @@
         }
         let changed = match delta.is_whole {
             true => self.replace_items(items, delta.complete),
-            false => self.advance(items, delta.complete),
+            false => {
+                let skipped = delta.skipped.zip(self.complete);
+                let skipped =
+                    skipped.and_then(|(skipped, own)| skipped.within(own, delta.complete));
+                if let Some(skipped) = skipped {
+                    self.skip(skipped);
+                }
+                self.advance(items, delta.complete)
+            }
         };
         self.store_packed(packed);
         changed
