Keep age and hold of a removed target below the bound together

Callers: on a large site a vm could send to a removed target until 4.25 s after its removal, 4.0 s allowed, while all watches were silent.

Cause: a vm reads the store itself when its replica is as old as half of the bound, 2 s with a bound of 4 s. That is longer than the gap of 1.8 s which counts as an interruption of the store, so the read started a hold of 2 s. A hold was also kept when another vm turned out to have covered the interruption.

The gap that counts as an interruption is now longer than the time until a read, and holds are shortened when the ages of other vms arrive. An outage that lies within such a gap may cost entries that expired for up to 2 s, until their targets write them again.

Processes of the soak and of stopped_watchers run with the bound that they are checked against; it was 2 s for all of them.

Found by a review.

--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -166,6 +166,13 @@
         changes
     }
 
+    /// Holds no missing target beyond `until`.
+    pub fn limit_holds(&mut self, until: Duration) {
+        for at in self.missing.values_mut() {
+            *at = (*at).min(until);
+        }
+    }
+
     /// Removes targets whose entries have been missing for the hold time, and returns them.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<(String, TargetChange)> {
         let mut changes = Vec::new();
--- a/crates/core/src/gateway/refresh.rs
+++ b/crates/core/src/gateway/refresh.rs
@@ -17,6 +17,14 @@
 /// out and is repeated, and for requests that are being sent.
 const READ_RATIO: f64 = 0.5;
 
+/// Time that a read of the store may take after it is due.
+const READ_TIME: Duration = Duration::from_millis(500);
+
+/// Longest interruption of reads in which no entry of a running target expires, in heartbeats of
+/// targets. An entry expires after three; it was last written up to one before the interruption, and
+/// is written again up to half of one after.
+const HARMLESS_HEARTBEATS: f64 = 1.5;
+
 /// What a vm does about the age of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -41,6 +49,14 @@
         Self { bound }
     }
 
+    /// Longest time between two confirmations of a replica that does not count as an interruption of
+    /// the store. Reads because of the age of a replica are no sign of one: after them, removed
+    /// targets would be held for longer than the bound.
+    pub fn max_gap(&self, target_heartbeat: Duration) -> Duration {
+        let harmless = target_heartbeat.mul_f64(HARMLESS_HEARTBEATS);
+        harmless.max(self.bound.mul_f64(READ_RATIO) + READ_TIME)
+    }
+
     /// Time until a step is due for a replica of this age, if it is not confirmed before.
     pub fn time_to_step(&self, age: Option<Duration>) -> Duration {
         let due = self.bound.mul_f64(QUERY_RATIO);
--- a/crates/core/tests/gateway_freshness.rs
+++ b/crates/core/tests/gateway_freshness.rs
@@ -20,6 +20,10 @@
 const CALL_TIMEOUT_MS: u64 = 1500;
 /// Wait of a watch call that reports no change.
 const WATCH_WAIT_MS: u64 = 1000;
+/// Interval in which targets write their entries.
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Time for which missing targets are held after an interruption.
+const REAPPEAR: Duration = Duration::from_secs(2);
 const MAX_GAP: Duration = Duration::from_millis(1800);
 /// Duration of a play, and the time after which ages are checked.
 const END_MS: u64 = 20_000;
@@ -41,6 +45,10 @@
 
 struct Vm {
     freshness: Freshness,
+    /// Targets that were removed right after a confirmation: when, and until when they are held.
+    held: Vec<(Duration, Duration)>,
+    /// Longest time for which a removed target was used.
+    longest_use: Duration,
     selector: PeerSelector,
     next_query_at: u64,
     /// When the watch call in progress was sent.
@@ -50,9 +58,36 @@
     is_stopped: bool,
     is_silent: bool,
     is_refused: bool,
+    was_faulty: bool,
+}
+
+impl Vm {
+    /// Changes what is known of the age, as a read or a query of this vm does.
+    fn learn(&mut self, now: u64, change: impl FnOnce(&mut Freshness)) {
+        let now = ms(now);
+        let age = self.freshness.age(now);
+        change(&mut self.freshness);
+        let readable_for = self.freshness.readable_for(now).expect("it has an age");
+        let hold = REAPPEAR.saturating_sub(readable_for);
+        let is_checked = now >= ms(CHECKED_FROM_MS);
+        let is_younger = |age: &Duration| Some(*age) > self.freshness.age(now);
+        if let Some(age) = age.filter(is_younger).filter(|_| is_checked) {
+            self.held.push((now - age, now + hold));
+        }
+        for (_, until) in &mut self.held {
+            *until = (*until).min(now + hold);
+        }
+        let longest_use = &mut self.longest_use;
+        self.held.retain(|(removed_at, until)| {
+            *longest_use = (*longest_use).max((*until).max(now) - *removed_at);
+            *until > now
+        });
+    }
 }
 
 struct Outcome {
+    /// Longest time for which such a vm used a target after its removal.
+    longest_use_ms: u64,
     /// Largest age at a vm that runs and may read the store.
     max_age_ms: u64,
     /// Reads of the store beside watches, for each vm and second.
@@ -71,7 +106,9 @@
     let mut fleet: Vec<_> = ids
         .iter()
         .map(|id| Vm {
-            freshness: Freshness::new(MAX_GAP),
+            freshness: Freshness::new(policy.max_gap(HEARTBEAT)),
+            held: Vec::new(),
+            longest_use: Duration::ZERO,
             selector: PeerSelector::new(u64::from(id.0) ^ seed),
             next_query_at: random.random_range(0..QUERY_INTERVAL_MS),
             watch_sent_at: None,
@@ -80,6 +117,7 @@
             is_stopped: false,
             is_silent: false,
             is_refused: false,
+            was_faulty: false,
         })
         .collect();
     for vm in &mut fleet {
@@ -94,6 +132,7 @@
         }
         if now == 15_000 {
             for vm in &mut fleet {
+                vm.was_faulty = vm.is_stopped || vm.is_refused;
                 (vm.is_stopped, vm.is_silent, vm.is_refused) = (false, false, false);
             }
         }
@@ -128,7 +167,7 @@
                     RefreshStep::ReadStore if fleet[own].is_refused => {}
                     RefreshStep::ReadStore => {
                         reads += 1;
-                        fleet[own].freshness.confirm(ms(now));
+                        fleet[own].learn(now, |freshness| freshness.confirm(ms(now)));
                     }
                 }
             }
@@ -141,7 +180,10 @@
         }
     }
     let seconds = END_MS as f64 / 1000.0;
+    let checked = fleet.iter().filter(|vm| !vm.was_faulty);
+    let longest_use = checked.map(|vm| vm.longest_use).max().unwrap_or_default();
     Outcome {
+        longest_use_ms: longest_use.as_millis() as u64,
         max_age_ms,
         reads_per_s: reads as f64 / f64::from(vms) / seconds,
     }
@@ -192,7 +234,9 @@
             vm.watch_sent_at = Some(now);
         }
     } else if now >= sent_at + WATCH_WAIT_MS {
-        vm.freshness.confirm(ms(sent_at + WATCH_WAIT_MS));
+        vm.learn(now, |freshness| {
+            freshness.confirm(ms(sent_at + WATCH_WAIT_MS))
+        });
         vm.watch_sent_at = Some(now);
     }
 }
@@ -204,13 +248,14 @@
     }
     let age = fleet[other].freshness.report(ms(now));
     if let Some(age) = age {
-        fleet[own].freshness.merge(age, ms(now));
+        fleet[own].learn(now, |freshness| freshness.merge(age, ms(now)));
     }
     true
 }
 
 /// Guards against a vm that acts on an old replica because its changes come by chance only: random
-/// queries bound the time until a vm has a change in the mean, not for the last vm.
+/// queries bound the time until a vm has a change in the mean, not for the last vm. Guards also
+/// against a hold of removed targets that exceeds the bound together with the age.
 #[test]
 fn no_replica_is_older_than_its_bound_under_faults() {
     let faults = [
@@ -226,13 +271,14 @@
             for seed in 1..4 {
                 let outcome = play(vms, ms(bound_ms), fault, seed);
                 println!(
-                    "{vms} vms, {fault:?}: {} ms, {:.2} reads a second and vm",
-                    outcome.max_age_ms, outcome.reads_per_s
+                    "{vms} vms, {fault:?}: {} ms, removed targets used for {} ms, {:.2} reads a \
+                     second and vm",
+                    outcome.max_age_ms, outcome.longest_use_ms, outcome.reads_per_s
                 );
+                let worst_ms = outcome.max_age_ms.max(outcome.longest_use_ms);
                 assert!(
-                    outcome.max_age_ms < bound_ms,
-                    "{vms} vms, {fault:?}, seed {seed}: {} ms, bound {bound_ms}",
-                    outcome.max_age_ms
+                    worst_ms < bound_ms,
+                    "{vms} vms, {fault:?}, seed {seed}: {worst_ms} ms, bound {bound_ms}"
                 );
             }
         }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -100,11 +100,10 @@
 }
 
 impl ReplicationConfig {
-    /// Longest time without reading the store after which no entry of a running target has expired:
-    /// such an entry was last written up to one interval before, and is written again up to half an
-    /// interval after.
-    pub(crate) fn max_gap(&self) -> Duration {
-        Duration::from_millis(self.target_heartbeat_ms * 3 / 2)
+    /// Longest time between two confirmations of a replica that is no interruption of the store.
+    pub(crate) fn max_gap(&self, kind: ReplicaKind) -> Duration {
+        let heartbeat = Duration::from_millis(self.target_heartbeat_ms);
+        self.refresh_policy(kind).max_gap(heartbeat)
     }
 
     /// Policy by which a replica is kept fresh.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -102,9 +102,12 @@
             .quarantine()
             .step(QuarantineEvent::Tick, now, &mut Vec::new());
         let (vms, all) = shared.count_vms();
+        let hold = shared.hold_time(now);
         {
             let mut fleet = shared.fleet();
             let fleet = &mut *fleet;
+            // Another vm may have covered what seemed an interruption of the store.
+            fleet.catalog.limit_holds(now + hold);
             let removed = fleet.catalog.remove_expired(now);
             replication::record_changes(shared, removed, Source::Expiry);
             fleet.placer.evict_removed(&fleet.catalog, now);
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -399,8 +399,8 @@
     log_invalid_entries(shared, invalid_keys);
     let count = entries.len();
     let now = shared.now();
-    let grace = shared.reappear_grace(now);
-    let changes = shared.fleet().catalog.update(entries, grace, now);
+    let hold = shared.hold_time(now);
+    let changes = shared.fleet().catalog.update(entries, hold, now);
     record_changes(shared, changes, source);
     shared.set_has_targets();
     shared.metrics.targets.set(count as i64);
@@ -409,7 +409,7 @@
         DecisionKind::Targets,
         targets = count,
         revision = complete.0,
-        hold_ms = millis(grace),
+        hold_ms = millis(hold),
         source:% = source,
         age_ms = millis(shared.targets_age())
     );
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -201,7 +201,11 @@
             ..AuthorityConfig::default()
         };
         let usage_window = Duration::from_millis(config.usage_window_ms);
-        let max_gap = config.replication.max_gap();
+        let replica = |kind| Replica::new(config.replication.max_gap(kind));
+        let replicas = Replicas {
+            settings: replica(ReplicaKind::Settings),
+            targets: replica(ReplicaKind::Targets),
+        };
         Self {
             vm,
             incarnation,
@@ -219,10 +223,7 @@
             unresponsive_owners: Mutex::default(),
             invalid_entries: InvalidEntries::default(),
             prompt_ends: PromptEnds::default(),
-            replicas: Mutex::new(Replicas {
-                settings: Replica::new(max_gap),
-                targets: Replica::new(max_gap),
-            }),
+            replicas: Mutex::new(replicas),
             targets_confirmed_ms: AtomicU64::new(0),
             budget: Mutex::new(ArrivalBudget::new(budget)),
             admission: Mutex::default(),
@@ -407,10 +408,10 @@
 
     /// Time for which a missing target is kept, because its entry may have expired while no vm could
     /// read the store, and it may still write its entry again.
-    pub(crate) fn reappear_grace(&self, now: Duration) -> Duration {
+    pub(crate) fn hold_time(&self, now: Duration) -> Duration {
         let readable_for = self.replicas().targets.freshness.readable_for(now);
-        let grace = Duration::from_millis(self.config.reappear_ms);
-        grace.saturating_sub(readable_for.unwrap_or(grace))
+        let hold = Duration::from_millis(self.config.reappear_ms);
+        hold.saturating_sub(readable_for.unwrap_or(hold))
     }
 }
 
--- a/crates/jujubebeam/tests/gateway_soak/fleet.rs
+++ b/crates/jujubebeam/tests/gateway_soak/fleet.rs
@@ -32,6 +32,11 @@
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time after which no request may reach a target that left, which is longer in large fleets.
+pub(crate) fn drain_timeout(vms: usize) -> Duration {
+    Duration::from_secs(if vms > 12 { 4 } else { 2 })
+}
+
 /// A gateway process.
 pub(crate) struct Vm {
     child: Option<Child>,
@@ -80,6 +85,7 @@
         vms: usize,
         (lifetime, grace): (Duration, Duration),
     ) -> Self {
+        let bound = drain_timeout(vms);
         let listen: Vec<_> = (0..vms).map(|_| addresses()).collect();
         let vms = listen.iter().enumerate().map(|(number, own)| {
             let zone = ["a", "b", "c", "d", "e"][number / 8 % 5];
@@ -90,6 +96,7 @@
                 store,
                 listen[0].peers,
                 (lifetime, grace),
+                bound,
             ))
         });
         let fleet = Self {
@@ -148,14 +155,17 @@
         store: Proxy,
         seed: SocketAddr,
         (lifetime, grace): (Duration, Duration),
+        bound: Duration,
     ) -> Self {
+        let bound_ms = bound.as_millis();
         let name = format!("vm-{}", listen.peers.port());
         let text = format!(
             "vm_name: {name}\nzone: {zone}\nlisten:\n  callers: \"{}\"\n  readiness: \"{}\"\n  \
              addresses: \"{}\"\n  peers: \"{}\"\n  metrics: \"{}\"\nseeds: [\"{seed}\"]\n\
              store: \"{}\"\naddress_lifetime_ms: {}\nshutdown_grace_ms: {}\nrepeat_ratio: 0.2\n\
              repeat_allowance: 50\nrepeat_window_ms: 10000\nusage_window_ms: 5000\n\
-             usage_due_ms: 10000\n",
+             usage_due_ms: 10000\nreplication:\n  settings_bound_ms: {bound_ms}\n  \
+             targets_bound_ms: {bound_ms}\n",
             listen.callers,
             listen.readiness,
             listen.addresses,
--- a/crates/jujubebeam/tests/gateway_soak/planned_work.rs
+++ b/crates/jujubebeam/tests/gateway_soak/planned_work.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::callers::Kind;
-use super::fleet::Fleet;
+use super::fleet::{Fleet, drain_timeout};
 use super::support::{
     Answer, Call, Seen, Server, Step, Store, answer, answer_with, config, end_of_events, events,
 };
@@ -254,7 +254,7 @@
             next_target: AtomicUsize::new(targets.len()),
             targets: Mutex::new(targets),
             restarts: Mutex::default(),
-            drain: Duration::from_secs(if scale.vms > 12 { 4 } else { 2 }),
+            drain: drain_timeout(scale.vms),
             latest_arrival: Mutex::default(),
             finds: Mutex::default(),
         }
