Scale the wait of a watch with the bound of its replica

A watch of 1 s made 12 calls a second to the store with 6 vms, and 16 with 95, instead of about a tenth of that: entries change less often than targets write them. The wait is now 0.45 of the bound, so a watch ends before the store would be read, and a large fleet, whose watches end at different times, makes fewer calls.

--- a/crates/core/src/gateway/refresh.rs
+++ b/crates/core/src/gateway/refresh.rs
@@ -17,6 +17,10 @@
 /// out and is repeated, and for requests that are being sent.
 const READ_RATIO: f64 = 0.5;
 
+/// Longest wait of a watch call, as a share of the bound. A vm that alone watches the store must not
+/// read it in addition.
+const WATCH_RATIO: f64 = 0.45;
+
 /// Time that a read of the store may take after it is due.
 const READ_TIME: Duration = Duration::from_millis(500);
 
@@ -49,6 +53,13 @@
         Self { bound }
     }
 
+    /// Longest wait of one watch call. A reply without changes confirms the replica, and a silent
+    /// connection is noticed soon after this time. The watches of several vms end at different
+    /// times, so that replicas are mostly younger than this.
+    pub fn watch_wait(&self) -> Duration {
+        self.bound.mul_f64(WATCH_RATIO)
+    }
+
     /// Longest time between two confirmations of a replica that does not count as an interruption of
     /// the store. Reads because of the age of a replica are no sign of one: after them, removed
     /// targets would be held for longer than the bound.
--- a/crates/core/tests/gateway_freshness.rs
+++ b/crates/core/tests/gateway_freshness.rs
@@ -16,10 +16,8 @@
 const QUERY_INTERVAL_MS: u64 = 250;
 /// Time after which a query without a reply is given up.
 const QUERY_TIMEOUT_MS: u64 = 500;
-/// Time after which a call to the store without a reply is given up.
-const CALL_TIMEOUT_MS: u64 = 1500;
-/// Wait of a watch call that reports no change.
-const WATCH_WAIT_MS: u64 = 1000;
+/// Time after the wait of a watch call after which it is given up.
+const WATCH_SLACK_MS: u64 = 500;
 /// Interval in which targets write their entries.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// Time for which missing targets are held after an interruption.
@@ -142,7 +140,7 @@
             }
             let id = ids[own];
             if watchers.contains(&id) && !fleet[own].is_refused {
-                watch(&mut fleet[own], now);
+                watch(&mut fleet[own], policy.watch_wait().as_millis() as u64, now);
             }
             if fleet[own].next_query_at <= now {
                 let others: Vec<_> = ids.iter().copied().filter(|other| *other != id).collect();
@@ -223,20 +221,18 @@
 }
 
 /// Continues the watch of a vm. Nothing changes, so each call lasts for its whole wait.
-fn watch(vm: &mut Vm, now: u64) {
+fn watch(vm: &mut Vm, wait_ms: u64, now: u64) {
     let Some(sent_at) = vm.watch_sent_at else {
         vm.watch_sent_at = Some(now);
         return;
     };
     if vm.is_watch_silent {
-        if now >= sent_at + CALL_TIMEOUT_MS {
+        if now >= sent_at + wait_ms + WATCH_SLACK_MS {
             vm.is_watch_silent = false;
             vm.watch_sent_at = Some(now);
         }
-    } else if now >= sent_at + WATCH_WAIT_MS {
-        vm.learn(now, |freshness| {
-            freshness.confirm(ms(sent_at + WATCH_WAIT_MS))
-        });
+    } else if now >= sent_at + wait_ms {
+        vm.learn(now, |freshness| freshness.confirm(ms(sent_at + wait_ms)));
         vm.watch_sent_at = Some(now);
     }
 }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -32,10 +32,6 @@
 /// Number of newest windows whose usage counts are replicated to other vms.
 const REPLICATED_WINDOWS: usize = 2;
 
-/// Longest wait of one watch call. A reply without changes confirms the replica, and a silent
-/// connection is noticed soon after this time.
-const WATCH_WAIT: Duration = Duration::from_secs(1);
-
 /// Shortest interval between checks of the age of a replica.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -185,12 +181,13 @@
     let Some(after) = shared.replicas().get(kind).mirror.complete() else {
         return Ok(false);
     };
+    let wait = shared.config.replication.refresh_policy(kind).watch_wait();
     let sent_at = shared.now();
-    let reply = context.store.watch(prefix, after, WATCH_WAIT).await;
+    let reply = context.store.watch(prefix, after, wait).await;
     let confirmed_at = match &reply {
         // The store made a reply without changes at the end of the wait.
         WatchReply::Changes { items, .. } if items.is_empty() => {
-            let ended_at = sent_at + WATCH_WAIT;
+            let ended_at = sent_at + wait;
             if shared.now() >= ended_at {
                 ended_at
             } else {
