Write answers to their callers before a leaving process ends

Callers: an answer was cut, with seconds of the grace period left, if the caller read it slowly while the vm was stopped. 3.9 of 7 MB arrived.

Cause: a plain answer counts as running until it is handed to ntex, not until it is written. The shutdown of the HTTP service is to wait for the connections, but ntex completes it once the set of connections was empty at any time before, and the end of the runtime drops the rest.

Each worker now counts its connections until their sockets are dropped, and waits for them until the time that is left for the end of the process.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -5,8 +5,10 @@
 //! each worker accepts connections itself and stops in order: it accepts what is left in the queue,
 //! closes the listener, serves the accepted connections, and closes idle connections last.
 
+use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,7 +21,7 @@
 use ntex::web::{self, App};
 use socket2::{Domain, Socket, Type};
 use tokio::sync::{oneshot, watch};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::adapters::Adapters;
 use crate::forward;
@@ -145,6 +147,7 @@
         let service = HttpService::new(app).pipeline(config.clone()).await;
         let service = service.map_err(|()| io::Error::other("the service cannot be created"))?;
         let listener = tokio::net::TcpListener::from_std(self.listener)?;
+        let open = Rc::new(Cell::new(0));
         let serve = |stream: tokio::net::TcpStream| {
             let connection = stream
                 .into_std()
@@ -152,7 +155,9 @@
             match connection {
                 Ok(io) => {
                     let service: Pipeline<_> = service.clone();
+                    let connection = OpenConnection::new(&open);
                     ntex::rt::spawn(async move {
+                        let _connection = connection;
                         if let Err(error) = service.call(io).await {
                             log::debug!("callers: connection ended: {error:?}");
                         }
@@ -189,9 +194,15 @@
         }
         drop(listener);
         wait_until_idle(&self.shared, until).await;
-        let closing_limit = until.saturating_duration_since(Instant::now());
-        let closing_limit = closing_limit.max(CLOSING_LIMIT);
-        if timeout(closing_limit, service.shutdown()).await.is_err() {
+        let until = until.max(Instant::now() + CLOSING_LIMIT);
+        let closing = async {
+            service.shutdown().await;
+            // The shutdown of ntex may end before answers are written to the sockets.
+            while open.get() > 0 {
+                sleep(IDLE_CHECK_INTERVAL).await;
+            }
+        };
+        if timeout_at(until, closing).await.is_err() {
             let vm = self.shared.vm;
             log::info!(event = "closing", vm:% = vm, outcome = "callers_still_connected"; "");
         }
@@ -199,6 +210,22 @@
     }
 }
 
+/// Counts a connection of a caller until it is dropped, with its socket.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Waits until no request has run for [`IDLE_CONFIRM_TIME`], because a request on a connection that
 /// was just accepted may not have been read yet.
 async fn wait_until_idle(shared: &Shared, until: Instant) {
--- a/crates/jujubebeam/tests/gateway_soak/fleet.rs
+++ b/crates/jujubebeam/tests/gateway_soak/fleet.rs
@@ -29,6 +29,8 @@
 pub(crate) const GRACE: Duration = Duration::from_millis(3000);
 /// How long callers may keep the addresses of vms.
 pub(crate) const LIFETIME: Duration = Duration::from_millis(500);
+/// Size of a large answer, most of which does not fit into the buffers of sockets.
+pub(crate) const LARGE_ANSWER_BYTES: usize = 7 * 1024 * 1024;
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -335,6 +337,9 @@
     if is_refused(server, id) {
         return not_executed(seen);
     }
+    if path.starts_with("/read/large/") {
+        return answer(seen, 200, &"x".repeat(LARGE_ANSWER_BYTES));
+    }
     if path.starts_with("/read/") || path.starts_with("/charge/") {
         return answer(seen, 200, &format!("ran {id}"));
     }
--- a/crates/jujubebeam/tests/gateway_soak/main.rs
+++ b/crates/jujubebeam/tests/gateway_soak/main.rs
@@ -14,6 +14,7 @@
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
 
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::ops::Range;
 use std::sync::Mutex;
@@ -21,7 +22,7 @@
 use std::time::{Duration, Instant};
 
 use callers::{Kind, Outcome};
-use fleet::{EVENTS, Fleet, GRACE, LIFETIME};
+use fleet::{EVENTS, Fleet, GRACE, LARGE_ANSWER_BYTES, LIFETIME};
 use planned_stop::Habit;
 use support::{Call, is_ready, wait_for};
 
@@ -175,6 +176,32 @@
     });
 }
 
+/// Guards against an answer that is cut because its caller reads slowly while the vm ends: the request
+/// no longer runs, but not all of its answer is written.
+#[test]
+fn a_large_answer_is_written_before_the_process_ends() {
+    let fleet = Fleet::start();
+    let address = fleet.listen(0).callers;
+    // The server of ntex counts its connections differently after all have been closed once.
+    assert_eq!(
+        support::call(address, &Call::get("/read/a").id("a")).status,
+        200
+    );
+    let request = Call::get("/read/large/b").id("b").bytes();
+    let mut slow = TcpStream::connect(address).expect("the vm listens");
+    slow.write_all(&request).expect("the vm reads");
+    std::thread::sleep(Duration::from_millis(500));
+    let received = std::thread::scope(|scope| {
+        scope.spawn(|| fleet.vms[0].lock().expect("no test panicked").terminate());
+        std::thread::sleep(GRACE - Duration::from_millis(1100));
+        let mut received = Vec::new();
+        // A reset shows as fewer bytes.
+        let _ = slow.read_to_end(&mut received);
+        received.len()
+    });
+    assert!(received > LARGE_ANSWER_BYTES, "{received} bytes");
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("JUJUBEBEAM_SOAK_SEEDS") else {
         return SEEDS.to_vec();
