Double the pause between reads of a store that does not reply

Every vm reads the store when its replica is too old, so an outage of the store would bring 8 calls a second from each vm, instead of a few from the watchers. The pause now doubles up to half of the bound. After the outage the watchers read first, and the others learn from them.

--- a/crates/core/src/gateway/refresh.rs
+++ b/crates/core/src/gateway/refresh.rs
@@ -9,8 +9,8 @@
 
 use strum::{Display, IntoStaticStr};
 
-/// Age at which a watcher is queried, as a share of the bound. Random queries keep replicas younger
-/// than this in a fleet without faults.
+/// Age at which a watcher is queried, as a share of the bound. Random queries keep most replicas
+/// younger than this in a fleet without faults.
 const QUERY_RATIO: f64 = 0.375;
 
 /// Age at which the store is read, as a share of the bound. The rest is left for a read that times
@@ -60,6 +60,11 @@
         self.bound.mul_f64(WATCH_RATIO)
     }
 
+    /// Longest pause between two reads of a store that does not reply.
+    pub fn longest_read_pause(&self) -> Duration {
+        self.bound.mul_f64(READ_RATIO)
+    }
+
     /// Longest time between two confirmations of a replica that does not count as an interruption of
     /// the store. Reads because of the age of a replica are no sign of one: after them, removed
     /// targets would be held for longer than the bound.
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -35,8 +35,9 @@
 /// Shortest interval between checks of the age of a replica.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Shortest interval between two queries to watchers, and between two reads of the store, because of
-/// the age of a replica. The next call may succeed before an earlier one times out.
+/// Interval between two calls because of the age of a replica. The next one may succeed before an
+/// earlier one times out. It doubles with each read of the store that does not help, up to half of
+/// the bound, because all vms read a store that has failed.
 const REFRESH_CALL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Number of vms that watch the store. The store may refuse a third of all vms at once. With eight
@@ -186,13 +187,8 @@
     let reply = context.store.watch(prefix, after, wait).await;
     let confirmed_at = match &reply {
         // The store made a reply without changes at the end of the wait.
-        WatchReply::Changes { items, .. } if items.is_empty() => {
-            let ended_at = sent_at + wait;
-            if shared.now() >= ended_at {
-                ended_at
-            } else {
-                sent_at
-            }
+        WatchReply::Changes { items, .. } if items.is_empty() && shared.now() >= sent_at + wait => {
+            sent_at + wait
         }
         _ => sent_at,
     };
@@ -229,6 +225,7 @@
     let policy = shared.config.replication.refresh_policy(kind);
     let mut selector = PeerSelector::new(u64::from(shared.vm.0) ^ !shared.incarnation.0);
     let mut called_at = Duration::ZERO;
+    let mut call_interval = REFRESH_CALL_INTERVAL;
     let mut pause = REFRESH_INTERVAL;
     loop {
         sleep(pause).await;
@@ -244,7 +241,11 @@
         pause = policy.time_to_step(age).max(REFRESH_INTERVAL);
         let step = policy.step(age);
         // A replica that was never read is listed, and compared with those of other vms.
-        if step == RefreshStep::Wait || !is_read || now < called_at + REFRESH_CALL_INTERVAL {
+        if step == RefreshStep::Wait || !is_read {
+            call_interval = REFRESH_CALL_INTERVAL;
+            continue;
+        }
+        if now < called_at + call_interval {
             continue;
         }
         called_at = now;
@@ -257,6 +258,7 @@
             step:% = step
         );
         if step == RefreshStep::ReadStore {
+            call_interval = (call_interval * 2).min(policy.longest_read_pause());
             let context = context.clone();
             ntex::rt::spawn(async move { read_changes(&context, kind).await });
         }
