--- a/crates/core/tests/gateway_mirror.rs
+++ b/crates/core/tests/gateway_mirror.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use jujubebeam_core::Revision;
-use jujubebeam_core::gateway::{Mirror, MirrorItem};
+use jujubebeam_core::gateway::{Mirror, MirrorDelta, MirrorItem};
 use jujubebeam_core::store::Entry;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -37,7 +37,7 @@
         content
     }
 
-    fn list(&self, mirror: &mut Mirror) {
+    fn list(&self) -> Reply {
         let entries = self.content(self.revision()).into_iter();
         let entries = entries.map(|(key, (revision, value))| Entry {
             key,
@@ -45,13 +45,13 @@
             created: Revision(revision),
             modified: Revision(revision),
         });
-        mirror.replace(entries.collect(), Revision(self.revision()));
+        Reply::Listing(entries.collect(), Revision(self.revision()))
     }
 
     /// Reports the changes since the revision of a replica, or lists if they were discarded.
-    fn update(&self, mirror: &mut Mirror) {
+    fn read(&self, mirror: &Mirror) -> Reply {
         let Some(after) = mirror.complete().filter(|after| after.0 >= self.discarded) else {
-            return self.list(mirror);
+            return self.list();
         };
         let changes = self.changes.iter().enumerate().skip(after.0 as usize);
         let items = changes.map(|(index, (key, value))| MirrorItem {
@@ -59,7 +59,24 @@
             revision: Revision(index as u64 + 1),
             value: value.map(|value| vec![value]),
         });
-        mirror.advance(items.collect(), Revision(self.revision()));
+        Reply::Changes(items.collect(), Revision(self.revision()))
+    }
+}
+
+/// Reply of the store or of another vm.
+enum Reply {
+    Listing(Vec<Entry>, Revision),
+    Changes(Vec<MirrorItem>, Revision),
+    Delta(MirrorDelta),
+}
+
+impl Reply {
+    fn apply(self, mirror: &mut Mirror) {
+        match self {
+            Self::Listing(entries, at) => mirror.replace(entries, at),
+            Self::Changes(items, at) => mirror.advance(items, at),
+            Self::Delta(delta) => mirror.merge(delta),
+        };
     }
 }
 
@@ -94,6 +111,21 @@
     ]
 }
 
+#[derive(Clone, Debug)]
+enum DelayedAction {
+    /// An action whose reply is delayed.
+    Begin(Action),
+    /// A vm receives one of its delayed replies.
+    Receive(usize, usize),
+}
+
+fn delayed_action() -> impl Strategy<Value = DelayedAction> {
+    prop_oneof![
+        2 => action().prop_map(DelayedAction::Begin),
+        1 => (0..VMS, 0..9_usize).prop_map(|(vm, reply)| DelayedAction::Receive(vm, reply)),
+    ]
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 3000,
@@ -121,7 +153,7 @@
                     continue;
                 }
                 Action::Read(vm) => {
-                    store.update(&mut mirrors[vm]);
+                    store.read(&mirrors[vm]).apply(&mut mirrors[vm]);
                     vm
                 }
                 Action::Query(from, to) => {
@@ -136,4 +168,35 @@
             }
         }
     }
+
+    /// Guards against a vm that uses a removed target again, because a reply that was made before
+    /// the removal arrives after one that was made later.
+    #[test]
+    fn a_late_reply_restores_no_removed_key(
+        actions in proptest::collection::vec(delayed_action(), 1..60),
+    ) {
+        let mut store = Store::default();
+        let mut mirrors: Vec<_> = (0..VMS).map(|_| Mirror::default()).collect();
+        let mut delayed: Vec<Vec<_>> = (0..VMS).map(|_| Vec::new()).collect();
+        for action in actions {
+            match action {
+                DelayedAction::Begin(Action::Change(key, value)) => {
+                    store.changes.push((key, value));
+                }
+                DelayedAction::Begin(Action::Discard) => store.discarded = store.revision(),
+                DelayedAction::Begin(Action::Read(vm)) => delayed[vm].push(store.read(&mirrors[vm])),
+                DelayedAction::Begin(Action::Query(from, to)) => {
+                    let delta = mirrors[to].delta(mirrors[from].complete());
+                    delayed[from].extend(delta.map(Reply::Delta));
+                }
+                DelayedAction::Receive(vm, reply) => {
+                    let Some(index) = reply.checked_rem(delayed[vm].len()) else { continue };
+                    delayed[vm].remove(index).apply(&mut mirrors[vm]);
+                    if let Some(complete) = mirrors[vm].complete() {
+                        prop_assert_eq!(content(&mirrors[vm]), store.content(complete.0));
+                    }
+                }
+            }
+        }
+    }
 }
