Apply late replies only as far as they are valid

Callers: a vm could send requests to a target that had been removed, without an end, and lose them once the target ended. The replica even counted as confirmed.

Cause: a vm has several calls in progress, and a reply is applied to a replica that has moved on. Two cases leave a removed key in it. A partial reply that was made before a listing or a complete copy arrives after it; the removal in between is not recorded, because it was skipped, so the key is inserted again. And another vm answers with the changes since the requested revision, without the removals that it skipped; the key came after the request, from a listing or a third vm, and the revision is raised beyond its removal.

Changes at or before the revision of a replica are now ignored, as it is complete up to there. Updates between vms state the requested revision; a key that was changed after it, and that the other vm does not report, is removed.

Ruled out: replies of atomic exchanges, which the other property covers, and late listings and complete copies, which are ignored if the replica is newer.

--- a/crates/core/src/gateway/mirror.rs
+++ b/crates/core/src/gateway/mirror.rs
@@ -45,6 +45,10 @@
     /// Whether the items are the complete replica instead of the changes since the requested
     /// revision.
     pub is_whole: bool,
+    /// The requested revision, unless the items are the complete replica. Earlier versions send
+    /// none.
+    #[serde(default)]
+    pub after: Option<Revision>,
     /// The changed keys, or all keys of a complete replica.
     pub items: Vec<PackedItem>,
     /// Revisions that the sender skipped. Earlier versions send none.
@@ -179,8 +183,12 @@
     /// Applies changes that the store reported in order, up to revision `at`. Returns whether
     /// anything changed.
     pub fn advance(&mut self, items: Vec<MirrorItem>, at: Revision) -> bool {
+        // The reply may have been made before one that has been applied. The replica may have
+        // skipped the removal of a key that this reply still contains.
+        let complete = self.complete;
+        let is_newer = |item: &MirrorItem| complete.is_none_or(|known| item.revision > known);
         let mut changed = false;
-        for item in items {
+        for item in items.into_iter().filter(is_newer) {
             changed |= self.apply(item);
         }
         if self.complete.is_some_and(|complete| complete < at) {
@@ -217,6 +225,7 @@
         Some(MirrorDelta {
             complete,
             is_whole,
+            after: from,
             items,
             skipped: self.skipped,
         })
@@ -253,13 +262,48 @@
                 if let Some(skipped) = skipped {
                     self.skip(skipped);
                 }
-                self.advance(items, delta.complete)
+                let removals = self.removals_implied_by(&items, delta.after, delta.complete);
+                let mut changed = !removals.is_empty();
+                for removal in removals {
+                    self.apply(removal);
+                }
+                changed |= self.advance(items, delta.complete);
+                changed
             }
         };
         self.store_packed(packed);
         changed
     }
 
+    /// Removals that follow from the changes between two revisions at another vm: it has no key of
+    /// that range that it does not report. It may not know the removal itself, and this replica may
+    /// have got the key after the request, or from a page of a listing.
+    fn removals_implied_by(
+        &self,
+        changes: &[MirrorItem],
+        after: Option<Revision>,
+        at: Revision,
+    ) -> Vec<MirrorItem> {
+        let Some(after) = after.or(self.complete).filter(|_| self.complete < Some(at)) else {
+            return Vec::new();
+        };
+        let in_range = |revision: Revision| after < revision && revision <= at;
+        let is_reported = |key: &str, revision: Revision| {
+            let mut same_key = changes.iter().filter(|change| change.key == key);
+            same_key.any(|change| change.revision >= revision)
+        };
+        let unknown = self
+            .items
+            .iter()
+            .filter(|(key, entry)| in_range(entry.revision) && !is_reported(key, entry.revision));
+        let removals = unknown.map(|(key, _)| MirrorItem {
+            key: key.clone(),
+            revision: at,
+            value: None,
+        });
+        removals.collect()
+    }
+
     /// Stores packed values from a peer, so that they are forwarded without packing them again.
     fn store_packed(&mut self, packed: Vec<(String, Revision, PackedValue)>) {
         for (key, revision, value) in packed {
