Ignore entries that name an address of the vm in the form of IPv6

An entry of another writer with an address such as [::ffff:10.1.0.7]:8405 was used as a server by the vm that listens on 10.1.0.7:8405. The vm sent requests to itself. They bear no key there, so the answer was 401 without an id, and callers got 502.

Cause: the addresses of an entry and of the listeners were compared as they are written. A socket of IPv6 reaches the same listener.

Both are now compared in their canonical form.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -161,11 +161,13 @@
 }
 
 impl ListenAddresses {
-    /// Whether an address is one of these.
+    /// Whether an address is one of these, also as an IPv4 address in the form of IPv6.
     pub(crate) fn contains(&self, address: &str) -> bool {
+        let canonical = |address: SocketAddr| (address.ip().to_canonical(), address.port());
         let fixed = [self.callers, self.readiness, self.addresses, self.peers];
-        let parsed = address.parse().ok();
-        parsed.is_some_and(|parsed| fixed.contains(&parsed) || self.metrics == Some(parsed))
+        let mut own = fixed.into_iter().chain(self.metrics).map(canonical);
+        let parsed = address.parse().ok().map(canonical);
+        parsed.is_some_and(|parsed| own.any(|own| own == parsed))
     }
 }
 
