Bound the times, clocks and revisions in updates between vms

A vm took over from an update of another vm: a time of uninterrupted reads for which a sum overflows, a clock beyond the range of its type, and revisions beyond those of the store. Callers see a vm that serves from an old list: the exchange ended with "overflow when adding durations", and a replica at revision 2^64-1 applies no later change.

A clock is bounded by its type.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -36,7 +36,7 @@
 pub use catalog::{Catalog, CatalogTarget, Stage, TargetChange, TargetKey, TargetPhase};
 pub use freshness::{Freshness, ReplicaAge};
 pub use leaving::TargetRun;
-pub use mirror::{Mirror, MirrorDelta, MirrorItem, PackedItem, SkippedRevisions};
+pub use mirror::{MAX_REVISION, Mirror, MirrorDelta, MirrorItem, PackedItem, SkippedRevisions};
 pub use outcome::{AttemptEnd, FinalAnswer, NextStep, Repeatability, RequestProgress};
 pub use packed::PackedValue;
 pub use pauses::{PauseLimits, caller_idle_timeout, stall_timeout};
--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -9,6 +9,10 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Longest time of uninterrupted reads that is taken over from another vm. No decision depends on a
+/// longer one, and sums with it do not overflow.
+const MAX_COVERED: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Age of a vm's replica in messages to other vms. It contains no points in time, because the
 /// clocks of vms differ.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,7 +68,7 @@
         };
         self.join(Coverage {
             until,
-            length: other.covered,
+            length: other.covered.min(MAX_COVERED),
         });
     }
 
--- a/crates/core/src/gateway/mirror.rs
+++ b/crates/core/src/gateway/mirror.rs
@@ -15,6 +15,10 @@
 /// Maximum number of recorded removals, which are sent to peers instead of a complete replica.
 const MAX_REMOVALS: usize = 512;
 
+/// Largest revision that every JSON writer represents exactly. A replica that took over a larger
+/// one by mistake would never apply another change.
+pub const MAX_REVISION: Revision = Revision((1 << 53) - 1);
+
 /// A key as reported by the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MirrorItem {
@@ -223,8 +227,12 @@
     }
 
     /// Applies an update from a peer. Returns whether anything changed. An update with a damaged
-    /// value is ignored completely, because the replica would be incomplete.
+    /// value or revision is ignored completely, because the replica would be incomplete.
     pub fn merge(&mut self, delta: MirrorDelta) -> bool {
+        let mut revisions = delta.items.iter().map(|item| item.revision);
+        if delta.complete > MAX_REVISION || revisions.any(|revision| revision > MAX_REVISION) {
+            return false;
+        }
         let mut items = Vec::with_capacity(delta.items.len());
         let mut packed = Vec::new();
         for item in delta.items {
--- a/crates/core/src/gateway/true_time.rs
+++ b/crates/core/src/gateway/true_time.rs
@@ -43,10 +43,15 @@
             .collect();
         offsets.sort_unstable();
         let median = offsets[offsets.len() / 2];
-        Duration::from_micros((now.as_micros() as i64 + median).max(0) as u64)
+        Duration::from_micros(micros(now).saturating_add(median).max(0) as u64)
     }
 }
 
 fn offset_us(wall: Duration, now: Duration) -> i64 {
-    wall.as_micros() as i64 - now.as_micros() as i64
+    micros(wall) - micros(now)
+}
+
+/// Whole microseconds. A clock beyond the range of the type is wrong, so it is bounded.
+fn micros(time: Duration) -> i64 {
+    i64::try_from(time.as_micros()).unwrap_or(i64::MAX)
 }
