Ignore usage counts of a window that no vm can have reached

Counts that a vm receives are dropped if their window is more than six older than the newest one. One message with a window far ahead made all later copies of all vms too old for that, until the process ended, so that reports of usage would miss them.

Counts of a window more than two ahead of the present are now ignored. The present is the estimate of true time that also numbers this vm's windows.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,9 @@
 use crate::server::Context;
 use crate::state::wall_clock;
 
+/// Number of usage windows by which the clock of another vm may be ahead of this one.
+const MAX_WINDOWS_AHEAD: u64 = 2;
+
 /// Sends messages to a vm and handles the messages in its reply. This happens whether or not the
 /// returned task is awaited.
 pub(crate) fn send<A: Adapters>(
@@ -215,10 +218,14 @@
     None
 }
 
-/// Merges replicated usage counts.
+/// Merges replicated usage counts. Those of a window that no vm can have reached are ignored, because
+/// counts are dropped by their age relative to the newest window.
 pub(crate) fn merge_counts<A: Adapters>(context: &Context<A>, counts: Vec<RunCounts>) {
+    let now = context.shared.now();
     let mut usage = context.shared.usage();
-    for run in counts {
+    let current = usage.windows.window_at(usage.true_time.now(now));
+    let newest = current.saturating_add(MAX_WINDOWS_AHEAD);
+    for run in counts.into_iter().filter(|run| run.window <= newest) {
         usage.windows.merge(run);
     }
 }
