Ignore times of the owner of prompts that cannot be calculated with

A reply of the vm that places prompts, or a report to it, was used as it arrived. A predicted time that is no number ended the request in "cannot convert float seconds to Duration": the caller's connection was closed without an answer. A prompt that took 2^64 s ended the exchange with the owner in "overflow when adding durations".

A reply with a negative time, or one that is no number or beyond 1e15 ms, now counts as none, so the vm places the prompt itself. The time that a prompt took is added without overflow.

--- a/crates/core/src/gateway/prompt_owner.rs
+++ b/crates/core/src/gateway/prompt_owner.rs
@@ -97,6 +97,20 @@
     pub prefill_cost: PrefillCost,
 }
 
+/// Largest time in a reply, in milliseconds. It is far beyond any predicted time, and sums and
+/// products with it remain finite.
+const MAX_REPLY_MS: f64 = 1e15;
+
+impl PromptPlacementReply {
+    /// Whether all times can be used for calculations.
+    pub fn is_plausible(&self) -> bool {
+        let cost = [self.prefill_cost.fixed_ms, self.prefill_cost.ms_per_1k];
+        let place = self.place.iter().flat_map(|p| [p.predicted_ms, p.wait_ms]);
+        let mut times_ms = cost.into_iter().chain(place);
+        times_ms.all(|ms| (0.0..=MAX_REPLY_MS).contains(&ms))
+    }
+}
+
 /// How a placed prompt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PromptOutcome {
@@ -352,7 +366,7 @@
             return;
         };
         // The prefill cost must not include the transmission time of the report.
-        let ended_at = (placed.placed_at + end.took).min(now);
+        let ended_at = placed.placed_at.saturating_add(end.took).min(now);
         match end.outcome {
             PromptOutcome::Computed => self.placer.first_byte(&placed, end.report, ended_at),
             PromptOutcome::Refused => self.placer.refused(&placed, end.report, now),
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -151,8 +151,12 @@
         let max_wait = Millis(reply_timeout(job.route().latency_aim).as_millis() as u32);
         let exchange = peers::exchange(context, owner, vec![Message::PlacePrompt(query)]);
         let answer = timeout(max_wait, exchange).await.ok().flatten();
-        let mut messages = answer.into_iter().flatten();
-        let Some(Message::PromptPlaced(answer)) = messages.next() else {
+        let placed = answer.into_iter().flatten().next();
+        let placed = placed.and_then(|message| match message {
+            Message::PromptPlaced(answer) if answer.is_plausible() => Some(answer),
+            _ => None,
+        });
+        let Some(answer) = placed else {
             shared.metrics.placed("owner_silent");
             owned.ended(shared, PromptOutcome::GivenUp, None);
             shared
