Send crash counts with the queries between vms

Callers: a request that crashes the targets that run it was sent to targets again by vms that had missed the messages about the crashes, or that started later. The budget rule allows three retries after contact-ms (3 s).

Cause: each count was sent to all vms once (Broadcast). A message that was lost, or sent while a vm was stopped, was not repeated, and a starting vm got none. The same held for Cleared: a vm that missed it kept the count for 10 minutes.

Each query between vms (every 250 ms) now has a digest of the sender's counts and those that changed in the last 2 s; the reply has counts if the digests differ. An empty set adds nothing. A message has at most six counts, about 0.6 KB: those that cause refusals first, then the others in turn. Counts remain sets of targets. Each has the number of times that it was cleared, and a smaller number is outdated, so a cleared count does not come back; it is kept without targets until it expires. A crash report from before a clear that its sender has missed is ignored, and the sender is told of the clear; the crash is then lost, of a request that a target has answered. The remaining time is sent along, and counts in their last 10 s are not passed on, as each hop adds its transmission time.

Fields of existing messages with defaults, and no new variant: vms of earlier versions ignore them, and their messages without the number are understood.

With the exchange switched off all five tests of the spread failed: of 6 vms, 2 did not refuse after 60 s with a tenth of the messages lost, and a repeated request reached 9 targets late with all of them lost (0 now). Over real gateways, a_vm_that_starts_later_refuses_a_request_that_crashed_three_servers failed with it switched off (the second vm sent the request on) and passes.

Not bounded: queries that are lost as well.

jujubebeam run has no periodic queries, so a vm that misses the broadcast there still does not know the count.

Not run: gateway_soak and the other tests.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -2,17 +2,39 @@
 //! target after target is refused.
 //!
 //! See `docs/design.md`, section 5.7. Vms exchange counts as sets of targets, so that duplicate
-//! messages have no effect.
+//! messages have no effect. A change is sent to all vms at once, and counts travel with the queries
+//! of [`PeerSelector`](crate::gateway::PeerSelector) as well, so that a vm gets them that missed the
+//! message or started later. Reports have the number of times that the count was cleared: a report
+//! with a smaller number is older than the last complete answer and is ignored.
 
-use std::collections::{HashMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use smallvec::SmallVec;
 
+use crate::authority::mix;
 use crate::{Machine, RouteId, TargetId};
 
+/// Maximum number of counts in one message of the periodic exchange. Six counts take about 0.6 KB,
+/// so that four queries and four replies a second take half of the 10 KB/s that a vm may send.
+const MAX_REPORTS_PER_MESSAGE: usize = 6;
+
+/// Number of reports in a message that are chosen by importance if not all fit. The others take
+/// turns.
+const PREFERRED_REPORTS: usize = 3;
+
+/// Time for which a changed count is sent with each query. After that, all vms that reply have it,
+/// and the others get it in replies to their own queries.
+const PUSH_LIFETIME: Duration = Duration::from_secs(2);
+
+/// Remaining time below which counts are not passed on. The remaining time grows by the transmission
+/// time with each hop, so vms would otherwise pass on a count that has expired at its origin, without
+/// an end.
+const MIN_REPORTED_TIME: Duration = Duration::from_secs(10);
+
 /// Configuration of a [`Quarantine`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineConfig {
@@ -54,6 +76,11 @@
     pub fn shard(&self, shards: usize) -> usize {
         usize::from(self.0[0]) % shards
     }
+
+    fn halves(&self) -> (u64, u64) {
+        let value = u128::from_be_bytes(self.0);
+        ((value >> 64) as u64, value as u64)
+    }
 }
 
 /// How a request must be treated.
@@ -79,6 +106,9 @@
         fingerprint: Fingerprint,
         /// The crashed targets.
         targets: SmallVec<[TargetId; 2]>,
+        /// Number of times that the count was cleared before. Earlier versions send none.
+        #[serde(default)]
+        clears: Option<u32>,
     },
     /// The request was answered completely, so these crashes no longer count against it.
     Cleared {
@@ -86,6 +116,9 @@
         fingerprint: Fingerprint,
         /// Targets to remove from the count.
         targets: SmallVec<[TargetId; 2]>,
+        /// Number of times that the count has been cleared. Earlier versions send none.
+        #[serde(default)]
+        clears: Option<u32>,
     },
 }
 
@@ -98,6 +131,19 @@
     }
 }
 
+/// A count in the periodic exchange between vms.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Number of times that the count was cleared.
+    pub clears: u32,
+    /// Targets that have crashed since then.
+    pub targets: SmallVec<[TargetId; 2]>,
+    /// Time until the count expires.
+    pub expires_in_ms: u32,
+}
+
 /// Inputs of the quarantine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum QuarantineEvent {
@@ -128,10 +174,16 @@
     Broadcast(QuarantineMessage),
 }
 
+/// Count of a request. It has no targets once it was cleared; it is kept, because other vms may still
+/// report the crashes before.
 #[derive(Debug)]
 struct CrashCount {
+    clears: u32,
     targets: SmallVec<[TargetId; 2]>,
     expires: Duration,
+    /// Number of the last change at this vm, and its time.
+    change: u64,
+    changed_at: Duration,
 }
 
 /// One shard of the counts.
@@ -139,8 +191,12 @@
 pub struct Quarantine {
     config: QuarantineConfig,
     counts: HashMap<Fingerprint, CrashCount>,
-    /// Times at which counts may expire, in order. A count that was extended has several entries.
-    expirations: VecDeque<(Duration, Fingerprint)>,
+    /// Times at which the counts expire.
+    expirations: BTreeSet<(Duration, Fingerprint)>,
+    /// Number of changes of counts.
+    changes: u64,
+    /// The last report that was chosen by turn.
+    last_in_turn: Option<Fingerprint>,
 }
 
 impl Quarantine {
@@ -149,7 +205,9 @@
         Self {
             config,
             counts: HashMap::new(),
-            expirations: VecDeque::new(),
+            expirations: BTreeSet::new(),
+            changes: 0,
+            last_in_turn: None,
         }
     }
 
@@ -157,126 +215,281 @@
     pub fn verdict(&self, fingerprint: Fingerprint, now: Duration) -> Verdict {
         let count = self.counts.get(&fingerprint).filter(|c| c.expires > now);
         match count {
-            Some(count) if count.targets.len() >= self.config.refusal_threshold => {
-                Verdict::Refuse {
-                    retry_after: count.expires - now,
-                }
-            }
-            Some(_) => Verdict::Suspect,
-            None => Verdict::Clear,
+            Some(count) if self.is_refused(count) => Verdict::Refuse {
+                retry_after: count.expires - now,
+            },
+            Some(count) if !count.targets.is_empty() => Verdict::Suspect,
+            _ => Verdict::Clear,
         }
     }
 
-    /// Returns the number of fingerprints.
+    fn is_refused(&self, count: &CrashCount) -> bool {
+        count.targets.len() >= self.config.refusal_threshold
+    }
+
+    /// Returns the number of fingerprints with crashed targets.
     pub fn len(&self) -> usize {
-        self.counts.len()
+        let counts = self.counts.values();
+        counts.filter(|count| !count.targets.is_empty()).count()
     }
 
-    /// Whether no fingerprint has a count.
+    /// Whether no fingerprint has crashed targets.
     pub fn is_empty(&self) -> bool {
-        self.counts.is_empty()
+        self.len() == 0
     }
 
-    /// Adds crashed targets to a count. Returns whether one of them is new.
-    fn add(&mut self, fingerprint: Fingerprint, targets: &[TargetId], now: Duration) -> bool {
-        let expires = now + self.config.expiry;
+    /// Digest of the counts that are passed on. Vms with equal counts have equal digests, and a vm
+    /// without counts has 0.
+    pub fn digest(&self, now: Duration) -> u64 {
+        let passed_on = self.counts.iter().filter(|(_, c)| is_passed_on(c, now));
+        passed_on.fold(0, |digest, (fingerprint, count)| {
+            // Vms may refuse a request because of different targets.
+            let targets = match self.is_refused(count) {
+                true => u64::MAX,
+                false => count.targets.iter().fold(0, |sum, t| sum ^ mix(t.0)),
+            };
+            let (high, low) = fingerprint.halves();
+            digest ^ mix(high ^ mix(low ^ mix(u64::from(count.clears) ^ mix(targets))))
+        })
+    }
+
+    /// Counts to send with a query to another vm: those that have changed recently.
+    pub fn recent_reports(&mut self, now: Duration) -> Vec<CrashReport> {
+        self.reports(now, |count| now < count.changed_at + PUSH_LIFETIME)
+    }
+
+    /// Counts to send in reply to a vm with the given digest. None if its counts are the same.
+    pub fn reports_for(&mut self, digest: u64, now: Duration) -> Vec<CrashReport> {
+        if digest == self.digest(now) {
+            return Vec::new();
+        }
+        self.reports(now, |_| true)
+    }
+
+    fn reports(
+        &mut self,
+        now: Duration,
+        is_included: impl Fn(&CrashCount) -> bool,
+    ) -> Vec<CrashReport> {
+        let counts = self.counts.iter();
+        let mut reported: Vec<_> = counts
+            .filter(|(_, count)| is_passed_on(count, now) && is_included(count))
+            .map(|(fingerprint, count)| {
+                let importance = (self.is_refused(count), count.change);
+                (Reverse(importance), *fingerprint)
+            })
+            .collect();
+        if reported.len() > MAX_REPORTS_PER_MESSAGE {
+            reported.sort_unstable();
+            let in_turn = &mut reported[PREFERRED_REPORTS..];
+            in_turn.sort_unstable_by_key(|(_, fingerprint)| *fingerprint);
+            let first = in_turn.partition_point(|(_, f)| Some(*f) <= self.last_in_turn);
+            in_turn.rotate_left(first);
+            reported.truncate(MAX_REPORTS_PER_MESSAGE);
+            self.last_in_turn = reported.last().map(|(_, fingerprint)| *fingerprint);
+        }
+        let fingerprints = reported.iter().map(|(_, fingerprint)| fingerprint);
+        fingerprints
+            .filter_map(|fingerprint| self.report(*fingerprint, now))
+            .collect()
+    }
+
+    fn report(&self, fingerprint: Fingerprint, now: Duration) -> Option<CrashReport> {
+        let count = self.counts.get(&fingerprint)?;
+        Some(CrashReport {
+            fingerprint,
+            clears: count.clears,
+            targets: count.targets.clone(),
+            expires_in_ms: count.expires.saturating_sub(now).as_millis() as u32,
+        })
+    }
+
+    /// Merges reports of another vm.
+    pub fn merge(&mut self, reports: &[CrashReport], now: Duration) {
+        self.expire(now);
+        for report in reports.iter().take(MAX_REPORTS_PER_MESSAGE) {
+            let remaining = Duration::from_millis(report.expires_in_ms.into());
+            if remaining <= MIN_REPORTED_TIME {
+                continue;
+            }
+            let expires = now + remaining.min(self.config.expiry);
+            let fingerprint = report.fingerprint;
+            self.add(fingerprint, report.clears, &report.targets, expires, now);
+        }
+    }
+
+    /// The clear that the sender of a message has missed, to be sent back to it.
+    pub fn missed_clear(&self, message: &QuarantineMessage) -> Option<QuarantineMessage> {
+        let QuarantineMessage::Crashed {
+            fingerprint,
+            targets,
+            clears: Some(clears),
+        } = message
+        else {
+            return None;
+        };
+        let known = self.clears(*fingerprint);
+        (*clears < known).then(|| QuarantineMessage::Cleared {
+            fingerprint: *fingerprint,
+            targets: targets.clone(),
+            clears: Some(known),
+        })
+    }
+
+    /// Number of times that a count was cleared.
+    fn clears(&self, fingerprint: Fingerprint) -> u32 {
+        self.counts.get(&fingerprint).map_or(0, |c| c.clears)
+    }
+
+    /// Adds targets that have crashed since the count was cleared `clears` times.
+    fn add(
+        &mut self,
+        fingerprint: Fingerprint,
+        clears: u32,
+        targets: &[TargetId],
+        expires: Duration,
+        now: Duration,
+    ) {
         let limit = self.config.refusal_threshold;
-        let count = self
-            .counts
-            .entry(fingerprint)
-            .or_insert_with(|| CrashCount {
-                targets: SmallVec::new(),
-                expires,
-            });
-        let before = count.targets.len();
+        let (mut known, old_expires) = match self.counts.get(&fingerprint) {
+            Some(count) if clears < count.clears => return,
+            Some(count) if clears == count.clears => (count.targets.clone(), Some(count.expires)),
+            Some(count) => (SmallVec::new(), Some(count.expires)),
+            None => (SmallVec::new(), None),
+        };
+        let is_cleared = clears > self.clears(fingerprint);
+        let before = known.len();
         for target in targets {
-            if count.targets.len() < limit && !count.targets.contains(target) {
-                count.targets.push(*target);
+            if known.len() < limit && !known.contains(target) {
+                known.push(*target);
             }
         }
-        if count.targets.len() == before {
-            return false;
+        if known.len() == before && !is_cleared {
+            return;
+        }
+        if let Some(old) = old_expires {
+            self.expirations.remove(&(old, fingerprint));
         }
-        count.expires = expires;
-        self.expirations.push_back((expires, fingerprint));
+        let expires = old_expires.map_or(expires, |old| old.max(expires));
+        self.expirations.insert((expires, fingerprint));
+        self.changes += 1;
+        let count = CrashCount {
+            clears,
+            targets: known,
+            expires,
+            change: self.changes,
+            changed_at: now,
+        };
+        self.counts.insert(fingerprint, count);
         self.evict_oldest();
-        true
     }
 
     fn evict_oldest(&mut self) {
         while self.counts.len() > self.config.max_entries {
-            let Some((expires, oldest)) = self.expirations.pop_front() else {
+            let Some((_, oldest)) = self.expirations.pop_first() else {
                 return;
             };
-            self.remove_if_expired(oldest, expires);
+            self.counts.remove(&oldest);
         }
     }
 
     fn expire(&mut self, now: Duration) {
-        while let Some(&(expires, fingerprint)) = self.expirations.front() {
+        while let Some(&(expires, fingerprint)) = self.expirations.first() {
             if expires > now {
                 return;
             }
-            self.expirations.pop_front();
-            self.remove_if_expired(fingerprint, expires);
+            self.expirations.pop_first();
+            self.counts.remove(&fingerprint);
         }
     }
 
-    fn remove_if_expired(&mut self, fingerprint: Fingerprint, expires: Duration) {
-        let expired = |c: &CrashCount| c.expires <= expires;
-        if self.counts.get(&fingerprint).is_some_and(expired) {
-            self.counts.remove(&fingerprint);
+    /// Clears a count. Returns the targets that it had.
+    fn clear(&mut self, fingerprint: Fingerprint, now: Duration) -> SmallVec<[TargetId; 2]> {
+        let count = self.counts.get(&fingerprint);
+        let targets = count.map_or_else(SmallVec::new, |count| count.targets.clone());
+        if !targets.is_empty() {
+            let clears = self.clears(fingerprint).saturating_add(1);
+            self.add(fingerprint, clears, &[], now + self.config.expiry, now);
         }
+        targets
     }
 
-    fn clear(&mut self, fingerprint: Fingerprint, targets: &[TargetId]) {
+    /// Removes targets because of a message that does not say how often the count was cleared.
+    fn remove(&mut self, fingerprint: Fingerprint, targets: &[TargetId], now: Duration) {
         let Some(count) = self.counts.get_mut(&fingerprint) else {
             return;
         };
-        count.targets.retain(|t| !targets.contains(t));
-        if count.targets.is_empty() {
-            self.counts.remove(&fingerprint);
+        if count.targets.iter().all(|target| targets.contains(target)) {
+            self.clear(fingerprint, now);
+            return;
+        }
+        count.targets.retain(|target| !targets.contains(target));
+    }
+
+    fn receive(&mut self, message: QuarantineMessage, now: Duration) {
+        let expires = now + self.config.expiry;
+        match message {
+            QuarantineMessage::Crashed {
+                fingerprint,
+                targets,
+                clears,
+            } => {
+                let clears = clears.unwrap_or_else(|| self.clears(fingerprint));
+                self.add(fingerprint, clears, &targets, expires, now);
+            }
+            QuarantineMessage::Cleared {
+                fingerprint,
+                clears: Some(clears),
+                ..
+            } => self.add(fingerprint, clears, &[], expires, now),
+            QuarantineMessage::Cleared {
+                fingerprint,
+                targets,
+                clears: None,
+            } => self.remove(fingerprint, &targets, now),
         }
     }
 }
 
+/// Whether a count is sent in the periodic exchange.
+fn is_passed_on(count: &CrashCount, now: Duration) -> bool {
+    count.expires > now + MIN_REPORTED_TIME
+}
+
 impl Machine for Quarantine {
     type Event = QuarantineEvent;
     type Command = QuarantineCommand;
 
     fn step(&mut self, event: QuarantineEvent, now: Duration, out: &mut Vec<QuarantineCommand>) {
+        self.expire(now);
         match event {
             QuarantineEvent::Crashed {
                 fingerprint,
                 target,
             } => {
-                self.add(fingerprint, &[target], now);
+                let clears = self.clears(fingerprint);
+                let expires = now + self.config.expiry;
+                self.add(fingerprint, clears, &[target], expires, now);
                 if let Some(count) = self.counts.get(&fingerprint) {
                     out.push(QuarantineCommand::Broadcast(QuarantineMessage::Crashed {
                         fingerprint,
                         targets: count.targets.clone(),
+                        clears: Some(count.clears),
                     }));
                 }
             }
             QuarantineEvent::Completed { fingerprint } => {
-                if let Some(count) = self.counts.remove(&fingerprint) {
+                let targets = self.clear(fingerprint, now);
+                if !targets.is_empty() {
                     out.push(QuarantineCommand::Broadcast(QuarantineMessage::Cleared {
                         fingerprint,
-                        targets: count.targets,
+                        targets,
+                        clears: Some(self.clears(fingerprint)),
                     }));
                 }
             }
-            QuarantineEvent::Peer(QuarantineMessage::Crashed {
-                fingerprint,
-                targets,
-            }) => {
-                self.add(fingerprint, &targets, now);
-            }
-            QuarantineEvent::Peer(QuarantineMessage::Cleared {
-                fingerprint,
-                targets,
-            }) => self.clear(fingerprint, &targets),
-            QuarantineEvent::Tick => self.expire(now),
+            QuarantineEvent::Peer(message) => self.receive(message, now),
+            QuarantineEvent::Tick => {}
         }
     }
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -4,7 +4,7 @@
     MirrorDelta, PermitQuery, PermitReply, PromptEnd, PromptPlacementReply, PromptPlacementRequest,
     RateLimitReport, ReplicaAge, RunCounts, Stage, TargetRun,
 };
-use jujubebeam_core::quarantine::QuarantineMessage;
+use jujubebeam_core::quarantine::{CrashReport, QuarantineMessage};
 use jujubebeam_core::{Revision, membership};
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +19,12 @@
         settings: Option<Revision>,
         /// Revision of the sender's replica of the targets.
         targets: Option<Revision>,
+        /// Digest of the sender's crash counts. Vms without counts and earlier versions send none.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        crash_digest: u64,
+        /// Crash counts of the sender that have changed recently.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        crash_reports: Vec<CrashReport>,
     },
     /// Answers `Ask`.
     News {
@@ -34,6 +40,9 @@
         /// Age of the sender's replica of the targets. Earlier versions send none.
         #[serde(default)]
         targets_age: Option<ReplicaAge>,
+        /// Crash counts of the sender, if their digest differs.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        crash_reports: Vec<CrashReport>,
     },
     /// Queries for the usage counts of a window.
     Collect {
@@ -68,3 +77,7 @@
     /// complete answer.
     Quarantine(QuarantineMessage),
 }
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -136,8 +136,18 @@
     let shared = &context.shared;
     match message {
         Message::Membership(message) => feed_membership(context, Event::Peer { from, message }),
-        Message::Ask { settings, targets } => {
+        Message::Ask {
+            settings,
+            targets,
+            crash_digest,
+            crash_reports,
+        } => {
             let now = shared.now();
+            let crash_reports = {
+                let mut quarantine = shared.quarantine();
+                quarantine.merge(&crash_reports, now);
+                quarantine.reports_for(crash_digest, now)
+            };
             let replicas = shared.replicas();
             return Some(Message::News {
                 wall_us: wall_clock().as_micros() as u64,
@@ -145,6 +155,7 @@
                 targets: replicas.targets.mirror.delta(targets),
                 settings_age: replicas.settings.freshness.report(now),
                 targets_age: replicas.targets.freshness.report(now),
+                crash_reports,
             });
         }
         Message::News {
@@ -153,6 +164,7 @@
             targets,
             settings_age,
             targets_age,
+            crash_reports,
         } => {
             let wall = Duration::from_micros(wall_us);
             let now = shared.now();
@@ -171,6 +183,7 @@
                 targets_age,
                 began_at,
             );
+            shared.quarantine().merge(&crash_reports, now);
             shared.compared_with(from);
         }
         Message::Collect { window } => {
@@ -206,10 +219,10 @@
             }
         }
         Message::Quarantine(message) => {
-            let mut commands = Vec::new();
-            shared
-                .quarantine()
-                .step(QuarantineEvent::Peer(message), shared.now(), &mut commands);
+            let (mut quarantine, now) = (shared.quarantine(), shared.now());
+            let missed = quarantine.missed_clear(&message);
+            quarantine.step(QuarantineEvent::Peer(message), now, &mut Vec::new());
+            return missed.map(Message::Quarantine);
         }
     }
     None
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -492,9 +492,16 @@
 
 /// Creates the message that queries for updates that this vm lacks.
 fn delta_request<A: Adapters>(context: &Context<A>) -> Message {
-    let replicas = context.shared.replicas();
+    let shared = &context.shared;
+    let (crash_digest, crash_reports) = {
+        let (mut quarantine, now) = (shared.quarantine(), shared.now());
+        (quarantine.digest(now), quarantine.recent_reports(now))
+    };
+    let replicas = shared.replicas();
     Message::Ask {
         settings: replicas.settings.mirror.complete(),
         targets: replicas.targets.mirror.complete(),
+        crash_digest,
+        crash_reports,
     }
 }
--- a/crates/jujubebeam/src/crashes.rs
+++ b/crates/jujubebeam/src/crashes.rs
@@ -101,11 +101,14 @@
     tasks
 }
 
-/// Takes a message of another vm.
+/// Takes a message of another vm. The returned message is sent back in the same exchange.
 pub(crate) fn deliver(context: &Context, message: QuarantineMessage) -> Option<PeerMessage> {
     let fingerprint = message.fingerprint();
+    let shard = context.shared.crashes.shard(fingerprint);
+    let missed = shard.missed_clear(&message);
+    drop(shard);
     feed(context, fingerprint, QuarantineEvent::Peer(message));
-    None
+    missed.map(PeerMessage::Quarantine)
 }
 
 /// Takes one retry from the budget of a route.
