Reject an event that ends with lines that are no fields

Callers saw the head of an error in the middle of their stream, followed by the events of the next target and the last chunk: if a target breaks off within an event and writes an error on the same connection (in the rest of a chunk, of a length, or in a body that ends with its connection), the part and the head up to its empty line were one event with an id. The stream went on after that id, so the rest of the event was also lost. A page of an error with lines like `data: error` and `id: 3` was taken for events too.

Cause: an event counted as one if any of its lines was a field.

Now an event whose last line is no field is rejected, as is a comment that is followed by such lines alone. Other lines may still precede a field, like `x-weight-versions`. The stream then continues at another target or is broken off after its last whole event.

Ruled out: rejecting each status line, which is also a valid text of an answer; rejecting other lines anywhere after a field, which breaks off the stream of a_body_is_forwarded_unchanged_wherever_it_is_split (tried, it failed). A head without any header line in the middle of a data line is still not told from data.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -15,7 +15,7 @@
     /// The body ended in the middle of an event.
     #[strum(to_string = "ended within an event")]
     Incomplete,
-    /// Lines without any field of an event, such as the text of an error.
+    /// Lines that are no fields of an event, such as the text of an error, alone or after fields.
     #[strum(to_string = "text that is not an event")]
     NotAnEvent,
     /// The first new event of a continuation has no id, so it may be one that was forwarded.
@@ -292,29 +292,33 @@
 impl EventKind {
     fn of(event: &[u8]) -> Result<Self, EventError> {
         let mut id = None;
-        let (mut has_content, mut is_event) = (false, false);
-        let mut is_blank = true;
+        let (mut has_content, mut has_field, mut has_other) = (false, false, false);
+        let mut ends_with_other = false;
         let lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
         for line in lines.filter(|line| !line.is_empty()) {
-            is_blank = false;
             let (name, value) = match line.iter().position(|byte| *byte == b':') {
                 Some(colon) => (&line[..colon], &line[colon + 1..]),
                 None => (line, &[][..]),
             };
+            ends_with_other = false;
             match name {
                 b"id" => {
                     id = std::str::from_utf8(value)
                         .ok()
                         .and_then(|v| v.trim().parse().ok());
-                    has_content = true;
+                    (has_content, has_field) = (true, true);
                 }
-                b"data" => has_content = true,
+                b"data" => (has_content, has_field) = (true, true),
+                b"event" | b"retry" => has_field = true,
                 // An empty name is that of a comment.
-                b"event" | b"retry" | b"" => is_event = true,
-                _ => {}
+                b"" => {}
+                _ => (has_other, ends_with_other) = (true, true),
             }
         }
-        match (has_content, is_event || is_blank) {
+        // Targets put other lines before the data of an event. At its end they are the text of an
+        // error that follows a part of the event.
+        match (has_content, has_field || !has_other) {
+            _ if has_field && ends_with_other => Err(EventError::NotAnEvent),
             (true, _) => Ok(Self::Content { id }),
             (false, true) => Ok(Self::Comment),
             (false, false) => Err(EventError::NotAnEvent),
