Count the attempts before a stream when it is continued

A request on a route with two attempts reached three servers: the first failed before its first event or refused the request, the second broke off in the middle, and a third one continued the stream. `max-attempts` limits the servers to which one attempt of a caller may be sent.

Cause: the relay of a stream started its own count of attempts. It now goes on with the count of the request. The targets that failed before the stream are not excluded from continuing it, as before.

Ruled out: counting only the attempts that ran. The count of a request includes refusals before the first event too.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -180,7 +180,9 @@
                 error_answer = Some(answer);
                 (AttemptEnd::Broken, "server error".to_owned())
             }
-            AttemptResult::Stream(events) => return stream::respond(context, job.clone(), *events),
+            AttemptResult::Stream(events) => {
+                return stream::respond(context, job.clone(), *events, progress);
+            }
             AttemptResult::Failed(end, reason) => (end, reason),
         };
         record_failed_attempt(shared, job, &target, end, &reason);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -216,14 +216,14 @@
     }
 }
 
-/// Answers a caller with a stream.
+/// Answers a caller with a stream. `progress` contains the attempts before it.
 pub(crate) fn respond<A: Adapters>(
     context: &Context<A>,
     job: Rc<Job>,
     events: EventStream,
+    progress: RequestProgress,
 ) -> HttpResponse {
     let mut builder = attempt::head(&events.parts);
-    let progress = RequestProgress::new(job.repeatability(), job.route().max_attempts);
     let pause_limit = pause_limit(context, &job, &events.source.in_flight);
     let disconnected = OptionFuture::from(job.on_disconnect());
     let relay = StreamRelay {
