Answer callers of HTTP/1.0 with whole streams

A caller of HTTP/1.0 got a stream with `HTTP/1.0 200 OK` and `transfer-encoding: chunked`. That version has no chunks, so such a caller reads the chunk sizes as a part of the body, and takes a stream that was broken off for a complete one, because the connection ends either way.

Cause: ntex sends a body of unknown length in chunks for each version.

Now the event stream of a target is read to its end for such a caller and forwarded with its length; if it breaks off, the caller gets status 502 or the request is sent again where that is allowed.

Ruled out: a body that ends with its connection, because the close after a broken stream would have to be a reset, and ntex does not offer that.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -73,7 +73,8 @@
         Ok(sent) => sent,
         Err((end, reason)) => return AttemptResult::Failed(end, reason),
     };
-    if stream::is_event_stream(&response) {
+    // Without chunks, only a length distinguishes a whole stream from one that was broken off.
+    if stream::is_event_stream(&response) && job.allows_chunks {
         return match stream::open(context, job, in_flight, response, connection).await {
             Ok(events) => AttemptResult::Stream(Box::new(events)),
             Err(reason) => AttemptResult::Failed(AttemptEnd::Broken, reason),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -63,6 +63,8 @@
     headers: http::HeaderMap,
     body: Bytes,
     pub(crate) fingerprint: Fingerprint,
+    /// Whether the caller knows bodies in chunks, which HTTP/1.0 does not have.
+    pub(crate) allows_chunks: bool,
     /// The caller's connection.
     io: Option<IoRef>,
     pub(crate) arrived_at: Instant,
@@ -175,6 +177,7 @@
         uri,
         host,
         body,
+        allows_chunks: request.version() >= ntex::http::Version::HTTP_11,
         io: request.io().cloned(),
         longest_wait,
         arrived_at,
