Forward the comment at which a silent target is kept

The body of a stream lacked one comment of its target: a comment that arrives when the target counts as silent starts the search for another target, and was dropped also if none was found and the target went on.

The comment is now forwarded if the target is kept.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -316,7 +316,7 @@
                         return self.abort(&reason).await;
                     }
                 }
-                Ok(StreamItem::Comment(_) | StreamItem::Stalled) => {
+                Ok(item @ (StreamItem::Comment(_) | StreamItem::Stalled)) => {
                     source.record_failure(&self.context);
                     let reason = format!("no event for {} ms", self.pause_limit.as_millis());
                     let longer = self.caller_wait().saturating_sub(self.pause_limit);
@@ -327,6 +327,10 @@
                         }
                         self.is_silent = true;
                         self.stalled_at += longer;
+                        if let StreamItem::Comment(text) = item {
+                            self.last_sent_at = Instant::now();
+                            return Some(Ok(NtexBytes::copy_from_slice(&text)));
+                        }
                     }
                 }
             }
