Treat an unrequested change of protocol as a failure

If a target answered with status 101, the caller got `101 Switching Protocols` with `transfer-encoding: chunked` and nothing else. To a caller that did not ask for another protocol this is an interim answer, so it waits on until it gives up.

Cause: hyper returns this status as the final answer, and the check of the head accepted each status that is no success. Requests to targets never ask for another protocol, because `Upgrade` is not forwarded. The attempt now counts as broken.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -162,6 +162,12 @@
     response: Response<hyper::body::Incoming>,
     connection: TargetConnection,
 ) -> Result<(Response<hyper::body::Incoming>, TargetConnection), (AttemptEnd, String)> {
+    // A caller would take it for an interim answer and wait on. Requests never ask for it, because
+    // their `Upgrade` header is not forwarded.
+    if response.status() == http::StatusCode::SWITCHING_PROTOCOLS {
+        in_flight.failed();
+        return Err((AttemptEnd::Broken, "target changed the protocol".into()));
+    }
     let claim = AnswerClaim {
         request_id: &job.incoming.attempt_id,
         echoed_id: head.attempt_id.as_deref(),
