--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -73,7 +73,8 @@
         Ok(sent) => sent,
         Err((end, reason)) => return AttemptResult::Failed(end, reason),
     };
-    if stream::is_event_stream(&response) {
+    // Without chunks, only a length distinguishes a whole stream from one that was broken off.
+    if stream::is_event_stream(&response) && job.allows_chunks {
         return match stream::open(context, job, in_flight, response, connection).await {
             Ok(events) => AttemptResult::Stream(Box::new(events)),
             Err(reason) => AttemptResult::Failed(AttemptEnd::Broken, reason),
@@ -161,6 +162,12 @@
     response: Response<hyper::body::Incoming>,
     connection: TargetConnection,
 ) -> Result<(Response<hyper::body::Incoming>, TargetConnection), (AttemptEnd, String)> {
+    // A caller would take it for an interim answer and wait on. Requests never ask for it, because
+    // their `Upgrade` header is not forwarded.
+    if response.status() == http::StatusCode::SWITCHING_PROTOCOLS {
+        in_flight.failed();
+        return Err((AttemptEnd::Broken, "target changed the protocol".into()));
+    }
     let claim = AnswerClaim {
         request_id: &job.incoming.attempt_id,
         echoed_id: head.attempt_id.as_deref(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -216,14 +216,14 @@
     }
 }
 
-/// Answers a caller with a stream.
+/// Answers a caller with a stream. `progress` contains the attempts before it.
 pub(crate) fn respond<A: Adapters>(
     context: &Context<A>,
     job: Rc<Job>,
     events: EventStream,
+    progress: RequestProgress,
 ) -> HttpResponse {
     let mut builder = attempt::head(&events.parts);
-    let progress = RequestProgress::new(job.repeatability(), job.route().max_attempts);
     let pause_limit = pause_limit(context, &job, &events.source.in_flight);
     let disconnected = OptionFuture::from(job.on_disconnect());
     let relay = StreamRelay {
@@ -316,7 +316,7 @@
                         return self.abort(&reason).await;
                     }
                 }
-                Ok(StreamItem::Comment(_) | StreamItem::Stalled) => {
+                Ok(item @ (StreamItem::Comment(_) | StreamItem::Stalled)) => {
                     source.record_failure(&self.context);
                     let reason = format!("no event for {} ms", self.pause_limit.as_millis());
                     let longer = self.caller_wait().saturating_sub(self.pause_limit);
@@ -327,6 +327,10 @@
                         }
                         self.is_silent = true;
                         self.stalled_at += longer;
+                        if let StreamItem::Comment(text) = item {
+                            self.last_sent_at = Instant::now();
+                            return Some(Ok(NtexBytes::copy_from_slice(&text)));
+                        }
                     }
                 }
             }
