--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -179,13 +179,7 @@
         is_signed: head.is_signed,
         is_encoded: response.headers().contains_key(header::CONTENT_ENCODING),
     };
-    let verdict = match check_answer(&claim) {
-        // No request asks for another protocol.
-        AnswerVerdict::Own if response.status() == http::StatusCode::SWITCHING_PROTOCOLS => {
-            AnswerVerdict::Untrusted
-        }
-        verdict => verdict,
-    };
+    let verdict = check_answer(&claim);
     // A late copy of an earlier answer may state a limit that no longer applies.
     if matches!(verdict, AnswerVerdict::Own | AnswerVerdict::NotRun) {
         let Placement { key, target, .. } = &in_flight.placement;
