Merge no partial update of a vm of an earlier version

What callers could see: during a rolling update, a removed target is used on and its requests are lost when it ends. Found by review.

Cause: vms of an earlier version send changes without the revisions that they skipped and without an age. The receiver's revision rose beyond a removal that the sender had skipped, and the next vm of this version confirmed that revision. Such updates are now ignored unless they are complete; the vm gets the changes from vms of its own version or, at half of the bound, from the store.

Evidence: an_update_of_an_earlier_version_hides_no_removal failed before (the removed server answered 5 s after the removal) and passes.

--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -297,6 +297,8 @@
     age: Option<ReplicaAge>,
     queried_at: Duration,
 ) {
+    // Vms of an earlier version send no age, and may have skipped removals that they do not report.
+    let delta = delta.filter(|delta| delta.is_whole || age.is_some());
     let has_delta = delta.is_some();
     update(&context.shared, kind, |replica| {
         let complete = delta.as_ref().map(|delta| delta.complete);
