Pause between listings of a store without history

What operators saw: nothing yet; found by review. A store that has discarded its history answers each watch with 410, and each watcher listed and watched again at once: 7,699 reads in 2 s from one vm (a_store_without_history_is_not_read_without_a_pause), of which a store accepts about 2,000 a second from all vms. Its refusals would have hit the reads that bound the age of replicas.

Two listings are now at least 0.25 s apart, so the test counts at most 18 reads, one listing and one watch each 0.25 s and those that had begun. The first listing after a discarded history is not delayed.

--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -50,6 +50,10 @@
 /// Pause after the first failed store call. It doubles with each failure up to [`STORE_RETRY_MAX`].
 const STORE_RETRY_INITIAL: Duration = Duration::from_millis(100);
 
+/// Shortest interval between two listings, in case the store keeps no history for watches. It is
+/// well below the shortest bound of a replica.
+const LIST_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Longest pause after a failed store call.
 const STORE_RETRY_MAX: Duration = Duration::from_millis(500);
 
@@ -94,13 +98,19 @@
     let mut pause = STORE_RETRY_INITIAL;
     let mut is_disconnected = false;
     let mut needs_listing = true;
+    let mut listed_at = None;
     loop {
         if !needs_listing && !is_watcher(context) {
             sleep(WATCHER_CHECK_INTERVAL).await;
             continue;
         }
         let result = match needs_listing {
-            true => list_all(context, kind, prefix).await,
+            true => {
+                let next_at = listed_at.map_or(Duration::ZERO, |at: Duration| at + LIST_INTERVAL);
+                sleep(next_at.saturating_sub(shared.now())).await;
+                listed_at = Some(shared.now());
+                list_all(context, kind, prefix).await
+            }
             false => watch_changes(context, kind, prefix).await,
         };
         match result {
