Reset the pause between reads once a replica is younger than half of its bound

The pause doubles with reads of the store that do not help. It was reset only below 0.375 of the bound.

--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -251,8 +251,10 @@
         pause = policy.time_to_step(age).max(REFRESH_INTERVAL);
         let step = policy.step(age);
         // A replica that was never read is listed, and compared with those of other vms.
-        if step == RefreshStep::Wait || !is_read {
+        if step != RefreshStep::ReadStore || !is_read {
             call_interval = REFRESH_CALL_INTERVAL;
+        }
+        if step == RefreshStep::Wait || !is_read {
             continue;
         }
         if now < called_at + call_interval {
