Continue a stream at a target that refused its start when its attempts are used up

What callers saw: a stream on a route with two attempts was broken off if one target had refused it before its first event and the one that ran it broke off.

The route limits the targets to which a request may be sent. A target that refused it is one of them already, and has not run it, so the stream may continue there without exceeding the limit. Others are excluded then.

--- a/crates/core/src/gateway/outcome.rs
+++ b/crates/core/src/gateway/outcome.rs
@@ -114,15 +114,20 @@
                 self.may_have_run = true;
             }
         }
-        let may_repeat = match end {
+        if self.may_repeat(end) && self.arrivals < self.max_attempts {
+            return NextStep::Retry { uses_budget: true };
+        }
+        NextStep::Answer(self.final_answer(end))
+    }
+
+    /// Whether the request may be sent again after an attempt ended with `end`, apart from the number
+    /// of attempts.
+    pub fn may_repeat(&self, end: AttemptEnd) -> bool {
+        match end {
             AttemptEnd::NotSent | AttemptEnd::NotRun => true,
             AttemptEnd::Broken => self.repeatability != Repeatability::Once,
             AttemptEnd::BrokenMidway => self.repeatability == Repeatability::Resumable,
-        };
-        if may_repeat && self.arrivals < self.max_attempts {
-            return NextStep::Retry { uses_budget: true };
         }
-        NextStep::Answer(self.final_answer(end))
     }
 
     /// Records that a prefill engine did not compute the prompt and decides on the next step. Such
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -27,7 +27,7 @@
 use crate::request_log::{record_failed_attempt, record_placement, record_refusal};
 use crate::server::Context;
 use crate::state::{Fleet, Shared};
-use crate::stream;
+use crate::stream::{self, EarlierAttempts};
 
 /// `Retry-After` of refusals because the service has no target at all.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
@@ -119,6 +119,7 @@
     let shared = &context.shared;
     let mut progress = RequestProgress::new(job.repeatability(), job.route().max_attempts);
     let mut excluded: SmallVec<[TargetKey; 4]> = SmallVec::new();
+    let mut refused: SmallVec<[TargetKey; 4]> = SmallVec::new();
     let mut error_answer: Option<CompleteAnswer> = None;
     let mut prompt = Prompt::NotComputed;
     let mut reserved = None;
@@ -181,12 +182,16 @@
                 (AttemptEnd::Broken, "server error".to_owned())
             }
             AttemptResult::Stream(events) => {
-                return stream::respond(context, job.clone(), *events, progress);
+                let earlier = EarlierAttempts { progress, refused };
+                return stream::respond(context, job.clone(), *events, earlier);
             }
             AttemptResult::Failed(end, reason) => (end, reason),
         };
         record_failed_attempt(shared, job, &target, end, &reason);
         excluded.push(key);
+        if end == AttemptEnd::NotRun {
+            refused.push(key);
+        }
         let step = progress.ended(end);
         if may_retry(shared, job, step) {
             continue;
@@ -429,6 +434,13 @@
     Ok(in_flight)
 }
 
+/// Keys of all targets except these.
+pub(crate) fn all_targets_except(shared: &Shared, kept: &[TargetKey]) -> SmallVec<[TargetKey; 4]> {
+    let fleet = shared.fleet();
+    let keys = fleet.catalog.iter().map(|(key, _)| key);
+    keys.filter(|key| !kept.contains(key)).collect()
+}
+
 /// Chooses a target for the remainder of a stream.
 pub(crate) async fn place_continuation<A: Adapters>(
     context: &Context<A>,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -183,6 +183,9 @@
     first: Option<Bytes>,
     source: Option<Source>,
     progress: RequestProgress,
+    /// Targets that refused the request before the stream. They have their part of the route's
+    /// attempts already, so the stream may continue at them when these are used up.
+    refused: SmallVec<[TargetKey; 4]>,
     excluded: SmallVec<[TargetKey; 4]>,
     position: StreamPosition,
     /// When the last events arrived, and the longest time between two arrivals.
@@ -216,12 +219,19 @@
     }
 }
 
-/// Answers a caller with a stream. `progress` contains the attempts before it.
+/// Attempts of a request before its stream began.
+pub(crate) struct EarlierAttempts {
+    pub(crate) progress: RequestProgress,
+    /// Targets that stated that they did not run the request.
+    pub(crate) refused: SmallVec<[TargetKey; 4]>,
+}
+
+/// Answers a caller with a stream.
 pub(crate) fn respond<A: Adapters>(
     context: &Context<A>,
     job: Rc<Job>,
     events: EventStream,
-    progress: RequestProgress,
+    earlier: EarlierAttempts,
 ) -> HttpResponse {
     let mut builder = attempt::head(&events.parts);
     let pause_limit = pause_limit(context, &job, &events.source.in_flight);
@@ -231,7 +241,8 @@
         first: Some(events.first),
         position: events.source.splitter.position(),
         source: Some(events.source),
-        progress,
+        progress: earlier.progress,
+        refused: earlier.refused,
         excluded: SmallVec::new(),
         last_event_at: Instant::now(),
         longest_pause: Duration::ZERO,
@@ -423,10 +434,24 @@
             return Err("the ids do not state where to continue".into());
         };
         let step = self.progress.ended(end);
+        let Self {
+            refused, excluded, ..
+        } = self;
+        refused.retain(|key| !excluded.contains(key));
+        let is_used_up = matches!(step, NextStep::Answer(_));
+        let returns = is_used_up && !self.refused.is_empty() && self.progress.may_repeat(end);
+        let step = match returns {
+            true => NextStep::Retry { uses_budget: true },
+            false => step,
+        };
         if !forward::may_retry(&self.context.shared, &self.job, step) {
             return Err("the stream may not be sent again".into());
         }
-        let placed = forward::place_continuation(&self.context, &self.job, &self.excluded).await;
+        let excluded = match returns {
+            true => forward::all_targets_except(&self.context.shared, &self.refused),
+            false => self.excluded.clone(),
+        };
+        let placed = forward::place_continuation(&self.context, &self.job, &excluded).await;
         let in_flight = placed.map_err(|refusal| refusal.reason.to_string())?;
         Ok((in_flight, last_id))
     }
