Wait for a target that can continue a stream while its caller waits

Their target ended. Of the other engines one was leaving, and the last one had been ordered to change its stage 1.2 s before, so none could continue them; a new engine was ready 30 ms later. 120 other requests were refused with Retry-After meanwhile, as they had not run.

A stream that broke off now waits for a target, checked each 50 ms, until the caller's wait for an event or the request's time is over. A silent target is kept without waiting, as before.

Not changed: the planner counts a target whose entry is missing as usable while it is held, and so ordered the last engine that accepted work.

Evidence: a_stream_waits_for_a_server_that_can_continue_it failed before (two of four events, broken off) and passes; the 25 tests of stream_errors pass.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -116,6 +116,9 @@
 /// was suspended, its timers expire before its sockets are read.
 const BUFFERED_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Interval between checks whether a target can continue a stream that has none.
+const TARGET_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval between checks whether a caller's connection has been closed.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -381,7 +384,7 @@
         let mut chosen = None;
         if keeps_target && backup.is_none() {
             let progress = self.progress;
-            match self.choose_next(end).await {
+            match self.choose_next(end, Instant::now()).await {
                 Ok(next) => chosen = Some(next),
                 Err(cause) => {
                     self.progress = progress;
@@ -401,7 +404,11 @@
         loop {
             let (in_flight, last_id) = match chosen.take() {
                 Some(next) => next,
-                None => self.choose_next(end).await?,
+                None => {
+                    let until = self.last_event_at + self.caller_wait();
+                    self.choose_next(end, until.min(self.job.expires_at))
+                        .await?
+                }
             };
             let key = in_flight.placement.key;
             let target = in_flight.placement.target.id.clone();
@@ -427,9 +434,13 @@
         }
     }
 
-    /// Chooses the next target, after an attempt ended with `end`. Returns it with the id of the last
-    /// event.
-    async fn choose_next(&mut self, end: AttemptEnd) -> Result<(InFlight, u64), String> {
+    /// Chooses the next target, after an attempt ended with `end`, and waits for one until `until`.
+    /// Returns it with the id of the last event.
+    async fn choose_next(
+        &mut self,
+        end: AttemptEnd,
+        until: Instant,
+    ) -> Result<(InFlight, u64), String> {
         let Some(last_id) = self.position.resume_id() else {
             return Err("the ids do not state where to continue".into());
         };
@@ -447,13 +458,20 @@
         if !forward::may_retry(&self.context.shared, &self.job, step) {
             return Err("the stream may not be sent again".into());
         }
-        let excluded = match returns {
-            true => forward::all_targets_except(&self.context.shared, &self.refused),
-            false => self.excluded.clone(),
-        };
-        let placed = forward::place_continuation(&self.context, &self.job, &excluded).await;
-        let in_flight = placed.map_err(|refusal| refusal.reason.to_string())?;
-        Ok((in_flight, last_id))
+        loop {
+            let excluded = match returns {
+                true => forward::all_targets_except(&self.context.shared, &self.refused),
+                false => self.excluded.clone(),
+            };
+            match forward::place_continuation(&self.context, &self.job, &excluded).await {
+                Ok(in_flight) => return Ok((in_flight, last_id)),
+                Err(refusal) if Instant::now() + TARGET_CHECK_INTERVAL >= until => {
+                    return Err(refusal.reason.to_string());
+                }
+                // A target that starts, or has changed its stage, may continue the stream.
+                Err(_) => sleep(TARGET_CHECK_INTERVAL).await,
+            }
+        }
     }
 
     /// Continues at the engine that keeps a backup of the run. This needs no permission to run the
