--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -223,6 +223,12 @@
         }
     }
 
+    /// Returns the number of targets that count against a request.
+    pub fn crashed_targets(&self, fingerprint: Fingerprint, now: Duration) -> usize {
+        let count = self.counts.get(&fingerprint).filter(|c| c.expires > now);
+        count.map_or(0, |count| count.targets.len())
+    }
+
     fn is_refused(&self, count: &CrashCount) -> bool {
         count.targets.len() >= self.config.refusal_threshold
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::adapters::{Adapters, AnswerHead, Wire, Work};
 use crate::answer::TargetHeaders;
 use crate::connection::{PooledRequest, SendError, TargetConnection};
+use crate::decision_log::{DecisionKind, decision, millis};
 use crate::in_flight::InFlight;
 use crate::job::{HOP_HEADERS, Job};
 use crate::message::Message;
@@ -272,6 +273,23 @@
         target: TargetId(hasher.finish()),
     };
     feed_quarantine(context, event);
+    log_crash_count(&context.shared, job, &placement.target.id, "counted");
+}
+
+/// Logs how many targets count against a request after a crash or a complete answer.
+fn log_crash_count(shared: &Shared, job: &Job, target: &str, outcome: &'static str) {
+    let crashed_targets = shared
+        .quarantine()
+        .crashed_targets(job.fingerprint, shared.now());
+    decision!(
+        shared,
+        DecisionKind::Crash,
+        request = job.incoming.attempt_id.as_str(),
+        target = target,
+        outcome = outcome,
+        crashed_targets = crashed_targets,
+        after_ms = millis(job.arrived_at.elapsed())
+    );
 }
 
 /// Reports to the quarantine that the request got a complete answer.
@@ -283,6 +301,8 @@
     };
     if is_suspect {
         feed_quarantine(context, QuarantineEvent::Completed { fingerprint });
+        let target = job.current_target.borrow();
+        log_crash_count(&context.shared, job, &target, "cleared");
     }
 }
 
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -40,6 +40,8 @@
     InvalidEntries,
     /// A target sent a notice about itself.
     Notice,
+    /// A connection broke while its target had a request, or a count of such crashes was cleared.
+    Crash,
     /// An engine was queried for the prompt parts that it caches.
     KeptParts,
     /// A replica was not confirmed for too long, and another vm or the store is queried.
