Refuse requests with a prompt part under which targets crash

Cause: crashes were counted by the fingerprint of path, tenant and body. No two requests were alike, so each crash was the first of its fingerprint and no count reached three. Class: a fault of a component is counted by the whole that contains it.

Ruled out: counts that are cleared by a prompt computed apart (no line says cleared), and counts that do not travel (there were none to share).

Crashes are now also counted by each shared part of the prompt and its model. A complete answer clears the parts of its request at all vms; the part that is to blame is the one without such an answer. The verdict is read before each send: of a prompt, an answer, a retry and a continuation. An answer of another status, or one whose end is only that of its connection, clears no part.

Also found: a stream that ended without an event, and a body that broke off, counted against nothing.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -14,6 +14,7 @@
 mod mirror;
 mod outcome;
 mod packed;
+mod part_crashes;
 mod pauses;
 mod peer_selection;
 mod permits;
@@ -39,12 +40,14 @@
 pub use mirror::{MAX_REVISION, Mirror, MirrorDelta, MirrorItem, PackedItem, SkippedRevisions};
 pub use outcome::{AttemptEnd, FinalAnswer, NextStep, Repeatability, RequestProgress};
 pub use packed::PackedValue;
+pub use part_crashes::{PartCrashConfig, PartCrashes, PartFingerprints, RefusedPart};
 pub use pauses::{PauseLimits, caller_idle_timeout, stall_timeout};
 pub use peer_selection::PeerSelector;
 pub use permits::{PermitConfig, PermitDemand, PermitQuery, PermitReply, Permits};
 pub use placement::{
     EnginePath, EnginePlan, LoadReport, OmittedTargets, Placement, PlacementConfig, PlacementId,
     PlacementRefused, PlacementRequest, Placer, PrefillCost, PromptPart, is_worth_backup,
+    shared_parts,
 };
 pub use prompt_owner::{
     PromptEnd, PromptOutcome, PromptOwner, PromptPlacement, PromptPlacementReply,
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -1047,7 +1047,7 @@
 }
 
 /// Parts that other requests may share, which are all but the last one.
-fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+pub fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
     &parts[..parts.len().saturating_sub(1)]
 }
 
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -42,8 +42,11 @@
     pub refusal_threshold: usize,
     /// Time after which counts expire. The remaining time is sent as `Retry-After`.
     pub expiry: Duration,
-    /// Maximum number of fingerprints. The oldest is evicted first.
+    /// Maximum number of fingerprints. The oldest is evicted first, and refused ones last.
     pub max_entries: usize,
+    /// Time between crashes that count separately. Crashes at one moment may have a common cause
+    /// that is not the request, such as a network fault or the loss of an availability zone.
+    pub min_spacing: Duration,
 }
 
 impl Default for QuarantineConfig {
@@ -52,10 +55,15 @@
             refusal_threshold: 2,
             expiry: Duration::from_secs(600),
             max_entries: 4096,
+            min_spacing: Duration::ZERO,
         }
     }
 }
 
+/// Number of crashed targets that are kept per count. More than the threshold are needed only if
+/// some crashed at one moment.
+const MAX_TARGETS: usize = 8;
+
 /// Hash of a route and a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fingerprint(pub [u8; 16]);
@@ -72,6 +80,17 @@
         Self(short)
     }
 
+    /// Hashes a prompt part for a model, under which it may crash targets whatever the request.
+    pub fn of_prompt_part(model: &str, part: u64) -> Self {
+        let digest = Sha256::new()
+            .chain_update(part.to_be_bytes())
+            .chain_update(model)
+            .finalize();
+        let mut short = [0; 16];
+        short.copy_from_slice(&digest[..16]);
+        Self(short)
+    }
+
     /// Returns the number of the shard that holds the fingerprint.
     pub fn shard(&self, shards: usize) -> usize {
         usize::from(self.0[0]) % shards
@@ -109,6 +128,9 @@
         /// Number of times that the count was cleared before. Earlier versions send none.
         #[serde(default)]
         clears: Option<u32>,
+        /// Times since the crashes, if their spacing matters.
+        #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
+        ages_ms: SmallVec<[u32; 2]>,
     },
     /// The request was answered completely, so these crashes no longer count against it.
     Cleared {
@@ -142,6 +164,9 @@
     pub targets: SmallVec<[TargetId; 2]>,
     /// Time until the count expires.
     pub expires_in_ms: u32,
+    /// Times since the crashes, if their spacing matters.
+    #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
+    pub ages_ms: SmallVec<[u32; 2]>,
 }
 
 /// Inputs of the quarantine.
@@ -174,16 +199,57 @@
     Broadcast(QuarantineMessage),
 }
 
+/// A target that crashed, and when.
+#[derive(Clone, Copy, Debug)]
+struct CrashedTarget {
+    id: TargetId,
+    at: Duration,
+}
+
 /// Count of a request. It has no targets once it was cleared; it is kept, because other vms may still
 /// report the crashes before.
 #[derive(Debug)]
 struct CrashCount {
     clears: u32,
-    targets: SmallVec<[TargetId; 2]>,
+    targets: SmallVec<[CrashedTarget; 2]>,
     expires: Duration,
     /// Number of the last change at this vm, and its time.
     change: u64,
     changed_at: Duration,
+    /// Number of requests that this vm let through to test whether they still crash targets.
+    trials: u32,
+}
+
+impl CrashCount {
+    fn target_ids(&self) -> SmallVec<[TargetId; 2]> {
+        self.targets.iter().map(|target| target.id).collect()
+    }
+
+    fn ages_ms(&self, config: &QuarantineConfig, now: Duration) -> SmallVec<[u32; 2]> {
+        if config.min_spacing.is_zero() {
+            return SmallVec::new();
+        }
+        let ages = self.targets.iter().map(|t| now.saturating_sub(t.at));
+        ages.map(|age| age.as_millis().min(u32::MAX.into()) as u32)
+            .collect()
+    }
+
+    /// Number of crashes that count, and the index of one that does not.
+    fn moments(&self, min_spacing: Duration) -> (usize, Option<usize>) {
+        let mut order: SmallVec<[usize; MAX_TARGETS]> = (0..self.targets.len()).collect();
+        order.sort_unstable_by_key(|index| (self.targets[*index].at, self.targets[*index].id));
+        let (mut number, mut surplus) = (0, None);
+        let mut last: Option<Duration> = None;
+        for index in order {
+            let at = self.targets[index].at;
+            if last.is_some_and(|last| at < last + min_spacing) {
+                surplus = Some(index);
+                continue;
+            }
+            (number, last) = (number + 1, Some(at));
+        }
+        (number, surplus)
+    }
 }
 
 /// One shard of the counts.
@@ -230,7 +296,31 @@
     }
 
     fn is_refused(&self, count: &CrashCount) -> bool {
-        count.targets.len() >= self.config.refusal_threshold
+        let (moments, _) = count.moments(self.config.min_spacing);
+        moments >= self.config.refusal_threshold
+    }
+
+    /// Whether no count exists, not even a cleared one.
+    pub fn has_no_counts(&self) -> bool {
+        self.counts.is_empty()
+    }
+
+    /// Lets a refused request through to test whether it still crashes targets. That is due after
+    /// `interval`, and each time after twice as long as before. Only one vm may ask.
+    pub fn take_trial(
+        &mut self,
+        fingerprint: Fingerprint,
+        interval: Duration,
+        now: Duration,
+    ) -> bool {
+        let Some(count) = self.counts.get_mut(&fingerprint) else {
+            return false;
+        };
+        // The waits before add up to one interval less than the next one.
+        let factor = 2_u32.saturating_pow(count.trials + 1) - 1;
+        let is_due = now >= count.changed_at + interval.saturating_mul(factor);
+        count.trials += u32::from(is_due);
+        is_due
     }
 
     /// Returns the number of fingerprints with crashed targets.
@@ -252,7 +342,7 @@
             // Vms may refuse a request because of different targets.
             let targets = match self.is_refused(count) {
                 true => u64::MAX,
-                false => count.targets.iter().fold(0, |sum, t| sum ^ mix(t.0)),
+                false => count.targets.iter().fold(0, |sum, t| sum ^ mix(t.id.0)),
             };
             let (high, low) = fingerprint.halves();
             digest ^ mix(high ^ mix(low ^ mix(u64::from(count.clears) ^ mix(targets))))
@@ -305,8 +395,9 @@
         Some(CrashReport {
             fingerprint,
             clears: count.clears,
-            targets: count.targets.clone(),
+            targets: count.target_ids(),
             expires_in_ms: count.expires.saturating_sub(now).as_millis() as u32,
+            ages_ms: count.ages_ms(&self.config, now),
         })
     }
 
@@ -319,8 +410,8 @@
                 continue;
             }
             let expires = now + remaining.min(self.config.expiry);
-            let fingerprint = report.fingerprint;
-            self.add(fingerprint, report.clears, &report.targets, expires, now);
+            let targets = crashed_targets(&report.targets, &report.ages_ms, now);
+            self.add(report.fingerprint, report.clears, &targets, expires, now);
         }
     }
 
@@ -330,6 +421,7 @@
             fingerprint,
             targets,
             clears: Some(clears),
+            ..
         } = message
         else {
             return None;
@@ -352,50 +444,71 @@
         &mut self,
         fingerprint: Fingerprint,
         clears: u32,
-        targets: &[TargetId],
+        targets: &[CrashedTarget],
         expires: Duration,
         now: Duration,
     ) {
-        let limit = self.config.refusal_threshold;
-        let (mut known, old_expires) = match self.counts.get(&fingerprint) {
+        let (known, old_expires) = match self.counts.get(&fingerprint) {
             Some(count) if clears < count.clears => return,
             Some(count) if clears == count.clears => (count.targets.clone(), Some(count.expires)),
             Some(count) => (SmallVec::new(), Some(count.expires)),
             None => (SmallVec::new(), None),
         };
         let is_cleared = clears > self.clears(fingerprint);
-        let before = known.len();
+        let mut count = CrashCount {
+            clears,
+            targets: known,
+            expires,
+            change: self.changes + 1,
+            changed_at: now,
+            trials: 0,
+        };
+        let mut is_changed = is_cleared;
         for target in targets {
-            if known.len() < limit && !known.contains(target) {
-                known.push(*target);
-            }
+            is_changed |= self.insert(&mut count, *target);
         }
-        if known.len() == before && !is_cleared {
+        if !is_changed {
             return;
         }
         if let Some(old) = old_expires {
             self.expirations.remove(&(old, fingerprint));
         }
-        let expires = old_expires.map_or(expires, |old| old.max(expires));
-        self.expirations.insert((expires, fingerprint));
+        count.expires = old_expires.map_or(expires, |old| old.max(expires));
+        self.expirations.insert((count.expires, fingerprint));
         self.changes += 1;
-        let count = CrashCount {
-            clears,
-            targets: known,
-            expires,
-            change: self.changes,
-            changed_at: now,
-        };
         self.counts.insert(fingerprint, count);
         self.evict_oldest();
     }
 
+    /// Adds a target to a count unless it is known or more would change nothing. Returns whether the
+    /// count has changed.
+    fn insert(&self, count: &mut CrashCount, target: CrashedTarget) -> bool {
+        if self.is_refused(count) || count.targets.iter().any(|known| known.id == target.id) {
+            return false;
+        }
+        if count.targets.len() >= MAX_TARGETS.max(self.config.refusal_threshold) {
+            let (_, surplus) = count.moments(self.config.min_spacing);
+            count.targets.remove(surplus.unwrap_or_default());
+        }
+        count.targets.push(target);
+        true
+    }
+
+    /// Evicts the oldest counts. Those that refuse requests are kept as long as there are others.
     fn evict_oldest(&mut self) {
         while self.counts.len() > self.config.max_entries {
-            let Some((_, oldest)) = self.expirations.pop_first() else {
+            let is_refused = |entry: &&(Duration, Fingerprint)| {
+                let count = self.counts.get(&entry.1);
+                count.is_some_and(|count| self.is_refused(count))
+            };
+            let mut oldest = self.expirations.iter();
+            let evicted = oldest.find(|entry| !is_refused(entry));
+            let evicted = evicted.or_else(|| self.expirations.first()).copied();
+            let Some(evicted) = evicted else {
                 return;
             };
-            self.counts.remove(&oldest);
+            self.expirations.remove(&evicted);
+            self.counts.remove(&evicted.1);
         }
     }
 
@@ -412,7 +525,7 @@
     /// Clears a count. Returns the targets that it had.
     fn clear(&mut self, fingerprint: Fingerprint, now: Duration) -> SmallVec<[TargetId; 2]> {
         let count = self.counts.get(&fingerprint);
-        let targets = count.map_or_else(SmallVec::new, |count| count.targets.clone());
+        let targets = count.map_or_else(SmallVec::new, CrashCount::target_ids);
         if !targets.is_empty() {
             let clears = self.clears(fingerprint).saturating_add(1);
             self.add(fingerprint, clears, &[], now + self.config.expiry, now);
@@ -425,11 +538,11 @@
         let Some(count) = self.counts.get_mut(&fingerprint) else {
             return;
         };
-        if count.targets.iter().all(|target| targets.contains(target)) {
+        if count.targets.iter().all(|t| targets.contains(&t.id)) {
             self.clear(fingerprint, now);
             return;
         }
-        count.targets.retain(|target| !targets.contains(target));
+        count.targets.retain(|t| !targets.contains(&t.id));
     }
 
     fn receive(&mut self, message: QuarantineMessage, now: Duration) {
@@ -439,8 +552,10 @@
                 fingerprint,
                 targets,
                 clears,
+                ages_ms,
             } => {
                 let clears = clears.unwrap_or_else(|| self.clears(fingerprint));
+                let targets = crashed_targets(&targets, &ages_ms, now);
                 self.add(fingerprint, clears, &targets, expires, now);
             }
             QuarantineMessage::Cleared {
@@ -457,6 +572,22 @@
     }
 }
 
+/// Crashes that another vm reports. Those without an age count as recent.
+fn crashed_targets(
+    ids: &[TargetId],
+    ages_ms: &[u32],
+    now: Duration,
+) -> SmallVec<[CrashedTarget; 2]> {
+    let ages_ms = ages_ms.iter().copied().chain(std::iter::repeat(0));
+    let targets = ids.iter().zip(ages_ms).take(MAX_TARGETS);
+    targets
+        .map(|(id, age_ms)| CrashedTarget {
+            id: *id,
+            at: now.saturating_sub(Duration::from_millis(age_ms.into())),
+        })
+        .collect()
+}
+
 /// Whether a count is sent in the periodic exchange.
 fn is_passed_on(count: &CrashCount, now: Duration) -> bool {
     count.expires > now + MIN_REPORTED_TIME
@@ -475,12 +606,17 @@
             } => {
                 let clears = self.clears(fingerprint);
                 let expires = now + self.config.expiry;
-                self.add(fingerprint, clears, &[target], expires, now);
+                let crashed = CrashedTarget {
+                    id: target,
+                    at: now,
+                };
+                self.add(fingerprint, clears, &[crashed], expires, now);
                 if let Some(count) = self.counts.get(&fingerprint) {
                     out.push(QuarantineCommand::Broadcast(QuarantineMessage::Crashed {
                         fingerprint,
-                        targets: count.targets.clone(),
+                        targets: count.target_ids(),
                         clears: Some(count.clears),
+                        ages_ms: count.ages_ms(&self.config, now),
                     }));
                 }
             }
--- a/crates/gateway/src/adapters.rs
+++ b/crates/gateway/src/adapters.rs
@@ -39,6 +39,8 @@
     pub deadline: Option<Duration>,
     /// API key of the caller.
     pub key: Option<String>,
+    /// Model that runs the request.
+    pub model: Option<String>,
     /// Parts of the prompt.
     pub prompt_parts: Vec<PromptPart>,
     /// Largest number of output tokens.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt at a target: sends the request, validates the answer and records the outcome.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,8 +11,6 @@
     AnswerClaim, AnswerVerdict, AttemptEnd, Placement, Repeatability, check_answer,
     contains_status_line,
 };
-use jujubebeam_core::quarantine::{QuarantineCommand, QuarantineEvent, Verdict};
-use jujubebeam_core::{Machine, TargetId};
 use ntex::http::StatusCode;
 use ntex::util::Bytes as NtexBytes;
 use ntex::web::HttpResponse;
@@ -22,12 +19,10 @@
 use crate::adapters::{Adapters, AnswerHead, Wire, Work};
 use crate::answer::TargetHeaders;
 use crate::connection::{PooledRequest, SendError, TargetConnection};
-use crate::decision_log::{DecisionKind, decision, millis};
+use crate::crashes;
 use crate::in_flight::InFlight;
 use crate::job::{HOP_HEADERS, Job};
-use crate::message::Message;
 use crate::notice;
-use crate::peers;
 use crate::request_log::record_answer;
 use crate::server::Context;
 use crate::state::Shared;
@@ -114,6 +109,10 @@
         let reason = "target stopped accepting work before the send".to_owned();
         return Err((AttemptEnd::NotSent, reason));
     }
+    if crashes::refusal(context, job).is_some() {
+        let reason = "request crashes targets, which became known before the send".to_owned();
+        return Err((AttemptEnd::NotSent, reason));
+    }
     // The request has the remaining time, so it is built last.
     let backup = in_flight.backup.as_ref();
     let request = job
@@ -126,7 +125,7 @@
         Err(error) => {
             let (end, reason) = record_send_error(context, in_flight, error);
             if end == AttemptEnd::Broken {
-                report_crash(context, job, placement);
+                crashes::report_crash(context, job, placement);
             }
             return Err((end, reason));
         }
@@ -263,58 +262,6 @@
     (share as usize).max(2)
 }
 
-/// Reports to the quarantine that a connection broke while the target had the request. If the
-/// target crashed, the request may be the cause.
-pub(crate) fn report_crash<A: Adapters>(context: &Context<A>, job: &Job, placement: &Placement) {
-    let mut hasher = DefaultHasher::new();
-    (&placement.target.id, placement.target.born_ms).hash(&mut hasher);
-    let event = QuarantineEvent::Crashed {
-        fingerprint: job.fingerprint,
-        target: TargetId(hasher.finish()),
-    };
-    feed_quarantine(context, event);
-    log_crash_count(&context.shared, job, &placement.target.id, "counted");
-}
-
-/// Logs how many targets count against a request after a crash or a complete answer.
-fn log_crash_count(shared: &Shared, job: &Job, target: &str, outcome: &'static str) {
-    let crashed_targets = shared
-        .quarantine()
-        .crashed_targets(job.fingerprint, shared.now());
-    decision!(
-        shared,
-        DecisionKind::Crash,
-        request = job.incoming.attempt_id.as_str(),
-        target = target,
-        outcome = outcome,
-        crashed_targets = crashed_targets,
-        after_ms = millis(job.arrived_at.elapsed())
-    );
-}
-
-/// Reports to the quarantine that the request got a complete answer.
-pub(crate) fn report_success<A: Adapters>(context: &Context<A>, job: &Job) {
-    let fingerprint = job.fingerprint;
-    let is_suspect = {
-        let quarantine = context.shared.quarantine();
-        quarantine.verdict(fingerprint, context.shared.now()) != Verdict::Clear
-    };
-    if is_suspect {
-        feed_quarantine(context, QuarantineEvent::Completed { fingerprint });
-        let target = job.current_target.borrow();
-        log_crash_count(&context.shared, job, &target, "cleared");
-    }
-}
-
-fn feed_quarantine<A: Adapters>(context: &Context<A>, event: QuarantineEvent) {
-    let mut commands = Vec::new();
-    let now = context.shared.now();
-    context.shared.quarantine().step(event, now, &mut commands);
-    for QuarantineCommand::Broadcast(message) in commands {
-        peers::broadcast(context, &Message::Quarantine(message));
-    }
-}
-
 async fn read_complete<A: Adapters>(
     context: &Context<A>,
     job: &Rc<Job>,
@@ -334,6 +281,7 @@
         Err(error) => {
             in_flight.failed();
             context.pool.close_idle(placement.key);
+            crashes::report_crash(context, job, placement);
             return AttemptResult::Failed(AttemptEnd::Broken, format!("answer broke off: {error}"));
         }
     };
@@ -344,7 +292,8 @@
         let reason = format!("status {} without a statement", parts.status);
         return AttemptResult::Failed(AttemptEnd::Broken, reason);
     }
-    report_success(context, job);
+    let has_announced_end = crashes::has_announced_end(&parts.headers);
+    crashes::report_success(context, job, parts.status, has_announced_end);
     AttemptResult::Complete(CompleteAnswer { parts, body })
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -101,6 +101,7 @@
         shared
             .quarantine()
             .step(QuarantineEvent::Tick, now, &mut Vec::new());
+        shared.part_crashes().expire(now);
         let (vms, all) = shared.count_vms();
         let hold = shared.hold_time(now);
         {
--- /dev/null
+++ b/crates/gateway/src/crashes.rs
@@ -0,0 +1,156 @@
+//! Requests and prompt parts that crash targets: counts, refusals, and the exchange with other vms.
+//! See [`jujubebeam_core::quarantine`] and [`jujubebeam_core::gateway::PartCrashes`].
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use http::header;
+use jujubebeam_core::gateway::{Placement, owner_of};
+use jujubebeam_core::quarantine::{QuarantineCommand, QuarantineEvent, QuarantineMessage, Verdict};
+use jujubebeam_core::{Machine, TargetId};
+
+use crate::adapters::Adapters;
+use crate::answer::{Reason, Refusal};
+use crate::decision_log::{DecisionKind, decision, millis};
+use crate::job::Job;
+use crate::message::Message;
+use crate::peers;
+use crate::server::Context;
+use crate::state::Shared;
+
+/// Refusal of a request that, or a prompt part of which, crashes targets. The verdict may change
+/// until each send.
+pub(crate) fn refusal<A: Adapters>(context: &Context<A>, job: &Job) -> Option<Refusal> {
+    let (shared, now) = (&context.shared, context.shared.now());
+    if let Verdict::Refuse { retry_after } = shared.quarantine().verdict(job.fingerprint, now) {
+        return Some(Refusal::not_run(Reason::CrashesTargets, retry_after));
+    }
+    if job.is_trial.get() {
+        return None;
+    }
+    let refused = {
+        let mut part_crashes = shared.part_crashes();
+        let refused = part_crashes.refused_part(&job.part_fingerprints, now)?;
+        let is_trial = is_trial_owner(shared, refused.fingerprint.0)
+            && part_crashes.take_trial(refused.fingerprint, now);
+        job.is_trial.set(is_trial);
+        refused
+    };
+    decision!(
+        shared,
+        DecisionKind::PartRefused,
+        request = job.incoming.attempt_id.as_str(),
+        part:% = part_name(job, |fingerprint| fingerprint == refused.fingerprint),
+        is_trial = job.is_trial.get(),
+        retry_after_ms = millis(refused.retry_after)
+    );
+    let refusal = Refusal::not_run(Reason::CrashesTargets, refused.retry_after);
+    (!job.is_trial.get()).then_some(refusal)
+}
+
+/// Whether this vm is the one that may test whether a refused part still crashes targets.
+fn is_trial_owner(shared: &Shared, fingerprint: [u8; 16]) -> bool {
+    let vms = shared.membership().coordinator_candidates(shared.now());
+    let name = format!("{:032x}", u128::from_be_bytes(fingerprint));
+    owner_of(&name, &vms) == Some(shared.vm)
+}
+
+/// Names of the parts with these fingerprints, as in the request.
+fn part_name(
+    job: &Job,
+    is_named: impl Fn(jujubebeam_core::quarantine::Fingerprint) -> bool,
+) -> String {
+    let parts = job.incoming.prompt_parts.iter().zip(&job.part_fingerprints);
+    let named = parts.filter(|(_, fingerprint)| is_named(**fingerprint));
+    let names: Vec<_> = named.map(|(part, _)| format!("{:x}", part.id)).collect();
+    names.join(",")
+}
+
+/// Reports that a connection broke while the target had the request. If the target crashed, the
+/// request or one of its prompt parts may be the cause.
+pub(crate) fn report_crash<A: Adapters>(context: &Context<A>, job: &Job, placement: &Placement) {
+    let mut hasher = DefaultHasher::new();
+    (&placement.target.id, placement.target.born_ms).hash(&mut hasher);
+    let target = TargetId(hasher.finish());
+    let event = QuarantineEvent::Crashed {
+        fingerprint: job.fingerprint,
+        target,
+    };
+    feed_quarantine(context, event);
+    let (shared, now) = (&context.shared, context.shared.now());
+    let messages = shared
+        .part_crashes()
+        .crashed(&job.part_fingerprints, target, now);
+    broadcast(context, messages);
+    log_counts(shared, job, &placement.target.id, "counted");
+}
+
+/// Reports that the request got a complete answer with these headers. Only a success proves that the
+/// target has written the answer, and only one whose end is announced that it has not crashed.
+pub(crate) fn report_success<A: Adapters>(
+    context: &Context<A>,
+    job: &Job,
+    status: http::StatusCode,
+    has_announced_end: bool,
+) {
+    let (shared, now) = (&context.shared, context.shared.now());
+    let fingerprint = job.fingerprint;
+    let is_suspect = shared.quarantine().verdict(fingerprint, now) != Verdict::Clear;
+    if is_suspect {
+        feed_quarantine(context, QuarantineEvent::Completed { fingerprint });
+    }
+    if job.part_fingerprints.is_empty() || !status.is_success() || !has_announced_end {
+        return;
+    }
+    let messages = shared.part_crashes().completed(&job.part_fingerprints, now);
+    let is_cleared = !messages.is_empty();
+    broadcast(context, messages);
+    if is_suspect || is_cleared {
+        log_counts(shared, job, &job.current_target.borrow(), "cleared");
+    }
+}
+
+/// Whether the end of a body is part of the message, and not only the end of its connection.
+pub(crate) fn has_announced_end(headers: &http::HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+fn feed_quarantine<A: Adapters>(context: &Context<A>, event: QuarantineEvent) {
+    let mut commands = Vec::new();
+    let now = context.shared.now();
+    context.shared.quarantine().step(event, now, &mut commands);
+    for QuarantineCommand::Broadcast(message) in commands {
+        peers::broadcast(context, &Message::Quarantine(message));
+    }
+}
+
+/// Sends counts of parts in a message of its own, because vms of earlier versions cannot read it.
+fn broadcast<A: Adapters>(context: &Context<A>, messages: Vec<QuarantineMessage>) {
+    if !messages.is_empty() {
+        peers::broadcast(context, &Message::PartCrashes(messages));
+    }
+}
+
+/// Logs how many targets count against a request and its parts after a crash or a complete answer.
+fn log_counts(shared: &Shared, job: &Job, target: &str, outcome: &'static str) {
+    let now = shared.now();
+    let crashed_targets = shared.quarantine().crashed_targets(job.fingerprint, now);
+    let parts: Vec<_> = {
+        let part_crashes = shared.part_crashes();
+        let parts = job.incoming.prompt_parts.iter().zip(&job.part_fingerprints);
+        let counts = parts.map(|(part, fingerprint)| {
+            let crashed = part_crashes.crashed_targets(*fingerprint, now);
+            format!("{:x}={crashed}", part.id)
+        });
+        counts.collect()
+    };
+    decision!(
+        shared,
+        DecisionKind::Crash,
+        request = job.incoming.attempt_id.as_str(),
+        target = target,
+        outcome = outcome,
+        crashed_targets = crashed_targets,
+        parts = parts.join(","),
+        after_ms = millis(job.arrived_at.elapsed())
+    );
+}
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -42,6 +42,8 @@
     Notice,
     /// A connection broke while its target had a request, or a count of such crashes was cleared.
     Crash,
+    /// A request was refused because of a prompt part that crashes targets, or tests that part.
+    PartRefused,
     /// An engine was queried for the prompt parts that it caches.
     KeptParts,
     /// A replica was not confirmed for too long, and another vm or the store is queried.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,7 +8,6 @@
     AttemptEnd, EnginePlan, FinalAnswer, NextStep, PermitDemand, PlacementRefused,
     PlacementRequest, PromptPart, Repeatability, RequestProgress, Stage, TargetKey,
 };
-use jujubebeam_core::quarantine::Verdict;
 use ntex::web::types::{Payload, State};
 use ntex::web::{HttpRequest, HttpResponse};
 use smallvec::SmallVec;
@@ -18,6 +17,7 @@
 use crate::answer::{Reason, Refusal};
 use crate::attempt::{AttemptResult, CompleteAnswer, attempt, forward_answer};
 use crate::backup;
+use crate::crashes;
 use crate::decision_log::{DecisionKind, decision, millis};
 use crate::in_flight::InFlight;
 use crate::job::{Job, accept};
@@ -129,13 +129,12 @@
         record_refusal(shared, id, &job.route().name, &refusal, age);
         refusal.response()
     };
-    if let Verdict::Refuse { retry_after } =
-        shared.quarantine().verdict(job.fingerprint, shared.now())
-    {
-        return refuse(Refusal::not_run(Reason::CrashesTargets, retry_after));
-    }
     loop {
-        let planned = match choose_step(context, job, &excluded, &prompt, &mut reserved).await {
+        let planned = match crashes::refusal(context, job) {
+            Some(refusal) => Err(refusal),
+            None => choose_step(context, job, &excluded, &prompt, &mut reserved).await,
+        };
+        let planned = match planned {
             Ok(planned) => planned,
             Err(refused) => {
                 if let Some(answer) = error_answer {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -11,8 +11,8 @@
 use http_body_util::Full;
 use jujubebeam_core::RouteId;
 use jujubebeam_core::gateway::{
-    EngineLimits, GatewaySettings, HostRoute, Placement, PlacementRequest, PromptPart,
-    Repeatability, RequestKind, Stage, TargetKey,
+    EngineLimits, GatewaySettings, HostRoute, PartFingerprints, Placement, PlacementRequest,
+    PromptPart, Repeatability, RequestKind, Stage, TargetKey, shared_parts,
 };
 use jujubebeam_core::quarantine::Fingerprint;
 use ntex::http::StatusCode;
@@ -63,6 +63,10 @@
     headers: http::HeaderMap,
     body: Bytes,
     pub(crate) fingerprint: Fingerprint,
+    /// Fingerprints of the prompt parts that other requests may share.
+    pub(crate) part_fingerprints: PartFingerprints,
+    /// Whether the request tests if a refused part still crashes targets.
+    pub(crate) is_trial: Cell<bool>,
     /// Whether the caller knows bodies in chunks, which HTTP/1.0 does not have.
     pub(crate) allows_chunks: bool,
     /// The caller's connection.
@@ -163,6 +167,8 @@
         .unwrap_or_default();
     Ok(Job {
         fingerprint: fingerprint(&uri, tenant.as_deref(), &body),
+        part_fingerprints: part_fingerprints(&incoming),
+        is_trial: Cell::new(false),
         headers: forwarded_headers::<A>(request),
         method: request
             .method()
@@ -232,6 +238,14 @@
     Fingerprint::new(RouteId(0), &text)
 }
 
+fn part_fingerprints(incoming: &Incoming) -> PartFingerprints {
+    let model = incoming.model.as_deref().unwrap_or_default();
+    let parts = shared_parts(&incoming.prompt_parts).iter();
+    parts
+        .map(|part| Fingerprint::of_prompt_part(model, part.id))
+        .collect()
+}
+
 fn forwarded_headers<A: Adapters>(request: &HttpRequest) -> http::HeaderMap {
     let listed = request.headers().get("connection");
     let listed = listed.and_then(|v| v.to_str().ok()).unwrap_or_default();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod config;
 mod connection;
 mod control;
+mod crashes;
 mod decision_log;
 mod duties;
 mod events;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -25,6 +25,12 @@
         /// Crash counts of the sender that have changed recently.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         crash_reports: Vec<CrashReport>,
+        /// Digest of the sender's crash counts of prompt parts.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        part_crash_digest: u64,
+        /// Crash counts of prompt parts that have changed recently.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        part_crash_reports: Vec<CrashReport>,
     },
     /// Answers `Ask`.
     News {
@@ -43,6 +49,9 @@
         /// Crash counts of the sender, if their digest differs.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         crash_reports: Vec<CrashReport>,
+        /// Crash counts of prompt parts, if their digest differs.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        part_crash_reports: Vec<CrashReport>,
     },
     /// Queries for the usage counts of a window.
     Collect {
@@ -76,6 +85,9 @@
     /// Reports that a target crashed while it ran a request, or that a suspected request got a
     /// complete answer.
     Quarantine(QuarantineMessage),
+    /// Reports crashes under prompt parts, or complete answers of suspected ones. Answered with the
+    /// clears that the sender has missed. Earlier versions cannot read it.
+    PartCrashes(Vec<QuarantineMessage>),
 }
 
 fn is_zero(value: &u64) -> bool {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -144,8 +144,15 @@
             targets,
             crash_digest,
             crash_reports,
+            part_crash_digest,
+            part_crash_reports,
         } => {
             let now = shared.now();
+            let part_crash_reports = {
+                let mut part_crashes = shared.part_crashes();
+                part_crashes.merge(&part_crash_reports, now);
+                part_crashes.reports_for(part_crash_digest, now)
+            };
             let crash_reports = {
                 let mut quarantine = shared.quarantine();
                 quarantine.merge(&crash_reports, now);
@@ -159,6 +166,7 @@
                 settings_age: replicas.settings.freshness.report(now),
                 targets_age: replicas.targets.freshness.report(now),
                 crash_reports,
+                part_crash_reports,
             });
         }
         Message::News {
@@ -168,6 +176,7 @@
             settings_age,
             targets_age,
             crash_reports,
+            part_crash_reports,
         } => {
             let wall = Duration::from_micros(wall_us);
             let now = shared.now();
@@ -187,6 +196,7 @@
                 began_at,
             );
             shared.quarantine().merge(&crash_reports, now);
+            shared.part_crashes().merge(&part_crash_reports, now);
             shared.compared_with(from);
         }
         Message::Collect { window } => {
@@ -227,6 +237,14 @@
             quarantine.step(QuarantineEvent::Peer(message), now, &mut Vec::new());
             return missed.map(Message::Quarantine);
         }
+        Message::PartCrashes(messages) => {
+            let (mut part_crashes, now) = (shared.part_crashes(), shared.now());
+            let messages = messages.into_iter();
+            let missed: Vec<_> = messages
+                .filter_map(|message| part_crashes.receive(message, now))
+                .collect();
+            return (!missed.is_empty()).then_some(Message::PartCrashes(missed));
+        }
     }
     None
 }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -511,11 +511,17 @@
         let (mut quarantine, now) = (shared.quarantine(), shared.now());
         (quarantine.digest(now), quarantine.recent_reports(now))
     };
+    let (part_crash_digest, part_crash_reports) = {
+        let (mut part_crashes, now) = (shared.part_crashes(), shared.now());
+        (part_crashes.digest(now), part_crashes.recent_reports(now))
+    };
     let replicas = shared.replicas();
     Message::Ask {
         settings: replicas.settings.mirror.complete(),
         targets: replicas.targets.mirror.complete(),
         crash_digest,
         crash_reports,
+        part_crash_digest,
+        part_crash_reports,
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,8 +7,8 @@
 use jujubebeam_core::authority::{Authority, AuthorityConfig, Holder};
 use jujubebeam_core::gateway::{
     Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, Freshness, GatewaySettings, Mirror,
-    PermitConfig, Permits, PlacementConfig, Placer, PromptOwner, PromptRequestId, RateLimits,
-    Stage, StartGate, TrueTime, UnresponsiveOwners, UsageWindows,
+    PartCrashes, PermitConfig, Permits, PlacementConfig, Placer, PromptOwner, PromptRequestId,
+    RateLimits, Stage, StartGate, TrueTime, UnresponsiveOwners, UsageWindows,
 };
 use jujubebeam_core::membership::{Membership, MembershipConfig, Record};
 use jujubebeam_core::quarantine::{Quarantine, QuarantineConfig};
@@ -130,6 +130,7 @@
     membership: Mutex<Membership>,
     authority: Mutex<Authority<Order>>,
     quarantine: Mutex<Quarantine>,
+    part_crashes: Mutex<PartCrashes>,
     start_gate: Mutex<StartGate>,
     unresponsive_owners: Mutex<UnresponsiveOwners>,
     /// Entries that describe no usable target.
@@ -238,6 +239,7 @@
                 refusal_threshold: 3,
                 ..QuarantineConfig::default()
             })),
+            part_crashes: Mutex::default(),
             start_gate: Mutex::default(),
             leaving_since_ms: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
@@ -316,6 +318,10 @@
         lock(&self.quarantine)
     }
 
+    pub(crate) fn part_crashes(&self) -> MutexGuard<'_, PartCrashes> {
+        lock(&self.part_crashes)
+    }
+
     /// Number of reachable vms, including this one.
     pub(crate) fn vms(&self) -> usize {
         let now = self.now();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -24,6 +24,7 @@
 use crate::attempt;
 use crate::backup::{self, Backup};
 use crate::connection::TargetConnection;
+use crate::crashes;
 use crate::decision_log::{DecisionKind, decision, millis};
 use crate::events::{CompleteEvents, EventError, EventSplitter, StreamPosition};
 use crate::forward;
@@ -47,6 +48,8 @@
     connection: TargetConnection,
     in_flight: InFlight,
     splitter: EventSplitter,
+    /// Whether the end of the body is part of the message.
+    has_announced_end: bool,
 }
 
 /// Whether an answer is an event stream.
@@ -71,6 +74,7 @@
 ) -> Result<EventStream, String> {
     let (parts, body) = response.into_parts();
     let mut source = Source {
+        has_announced_end: crashes::has_announced_end(&parts.headers),
         body,
         connection,
         in_flight,
@@ -86,7 +90,10 @@
             })
         }
         StreamItem::Stalled => Err("no event came".into()),
-        StreamItem::End => Err("stream ended without an event".into()),
+        StreamItem::End => {
+            source.record_break(context, job);
+            Err("stream ended without an event".into())
+        }
         StreamItem::Broken(reason) => {
             source.record_break(context, job);
             Err(reason)
@@ -168,7 +175,7 @@
     /// Records that the stream broke off, which may mean that the target crashed.
     fn record_break<A: Adapters>(&self, context: &Context<A>, job: &Job) {
         self.record_failure(context);
-        attempt::report_crash(context, job, &self.in_flight.placement);
+        crashes::report_crash(context, job, &self.in_flight.placement);
     }
 
     /// Records that the stream broke off, stalled or is invalid. Only the first may be a crash.
@@ -356,8 +363,10 @@
         if let Some(source) = self.source.take() {
             let key = source.in_flight.placement.key;
             self.context.pool.release(key, source.connection);
+            let has_announced_end = source.has_announced_end;
+            let status = StatusCode::OK;
+            crashes::report_success(&self.context, &self.job, status, has_announced_end);
         }
-        attempt::report_success(&self.context, &self.job);
         let pause = Some(self.longest_pause);
         record_answer(&self.context.shared, &self.job, 200, pause);
     }
@@ -444,6 +453,9 @@
         let Some(last_id) = self.position.resume_id() else {
             return Err("the ids do not state where to continue".into());
         };
+        if crashes::refusal(&self.context, &self.job).is_some() {
+            return Err("the request crashes targets".into());
+        }
         let step = self.progress.ended(end);
         let Self {
             refused, excluded, ..
@@ -521,6 +533,7 @@
         self.pause_limit = pause_limit(&self.context, &self.job, &in_flight);
         self.stalled_at = Instant::now() + self.pause_limit;
         self.source = Some(Source {
+            has_announced_end: crashes::has_announced_end(response.headers()),
             body: response.into_body(),
             connection,
             in_flight,
