Order revisions of the store by its era

Cause: a revision was taken for time. A listing at a lower revision than the replica's was dropped, and changes at or below it too, until the store had given out as many numbers again; every targets line after the return names the revision from before it. Class: an order that holds only while its source loses nothing. Ruled out: settings kept by their version (14 is above 11), and a watch that stays silent (vms list every 0.25 s).

The store states an era, which rises with each restore. A revision now has the era in its high bits, so that all that compares revisions is right again: replicas, removals, changes between vms, late replies, and fences, which are revisions of creation. A store without an era is used as before.

--- a/crates/core/src/authority/lease.rs
+++ b/crates/core/src/authority/lease.rs
@@ -48,6 +48,8 @@
     pub(super) checks_fencing: bool,
     phase: Phase,
     not_before: Duration,
+    /// Era of the store when this process last read the lease key.
+    seen_era: Option<u64>,
     /// False until the first probe of the scope is scheduled.
     probe_scheduled: bool,
     /// Pending lease call and the time at which it was requested.
@@ -72,6 +74,7 @@
             checks_fencing: false,
             phase: Phase::Idle,
             not_before: Duration::ZERO,
+            seen_era: None,
             probe_scheduled: false,
             pending_call: None,
             renewal: None,
@@ -450,7 +453,15 @@
     ) {
         let retry = now + common.config.retry_delay;
         match (self.phase, reply) {
-            (Phase::Idle, StoreReply::Value { entry: None, .. }) => self.phase = Phase::Granting,
+            (Phase::Idle, StoreReply::Value { entry: None, store }) => {
+                let era = store.era();
+                let is_restored = self.seen_era.replace(era).is_some_and(|seen| seen < era);
+                match is_restored {
+                    // The copy may lack the key of a holder whose lease is still valid.
+                    true => self.not_before = now + common.config.ttl,
+                    false => self.phase = Phase::Granting,
+                }
+            }
             (Phase::Idle, _) => self.not_before = now + common.probe_delay(&self.scope),
             (Phase::Granting, StoreReply::Granted { lease, ttl }) => {
                 self.lease = Some(lease);
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -64,5 +64,5 @@
 };
 pub use start_gate::StartGate;
 pub use true_time::TrueTime;
-pub use usage_collection::{CollectStep, UsageCollection};
+pub use usage_collection::{CollectStep, LostReports, UsageCollection};
 pub use usage_window::{RunCounts, UsageWindows, WindowCounts};
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -113,6 +113,8 @@
     /// Keys of removed targets, oldest first.
     removed: VecDeque<(TargetRun, TargetKey)>,
     leaving: LeavingRuns,
+    /// Runs whose entries had been removed before the store was restored from a copy with them.
+    departed: Vec<TargetRun>,
     /// Existing targets that have announced that they are leaving.
     leaving_keys: BTreeSet<TargetKey>,
 }
@@ -166,6 +168,31 @@
         changes
     }
 
+    /// Keeps what is known of targets that leave or have left, although the store was restored from
+    /// a copy with older entries of them. Must be called before the update with these entries.
+    pub fn keep_departures(&mut self, copied: &[CatalogTarget]) {
+        self.departed.clear();
+        for entry in copied {
+            let run = TargetRun::of(entry);
+            let known = self.key_of_run(&run);
+            let target = known.and_then(|key| self.targets.get(&key));
+            let is_draining = target.is_some_and(|t| t.phase == TargetPhase::Draining);
+            let is_missing = known.is_some_and(|key| self.missing.contains_key(&key));
+            let is_removed = self.removed.iter().any(|(removed, _)| *removed == run);
+            if is_draining {
+                self.leaving.insert(run);
+            } else if is_missing || (is_removed && known.is_none()) {
+                self.departed.push(run);
+            }
+        }
+    }
+
+    /// Whether the entry of a target in the copy is one that had been removed before. It counts
+    /// again once the target has written it anew.
+    pub fn has_departed(&self, entry: &CatalogTarget) -> bool {
+        self.departed.iter().any(|run| run.is_run_of(entry))
+    }
+
     /// Holds no missing target beyond `until`.
     pub fn limit_holds(&mut self, until: Duration) {
         for at in self.missing.values_mut() {
--- a/crates/core/src/gateway/usage_collection.rs
+++ b/crates/core/src/gateway/usage_collection.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::VmId;
+use crate::{Revision, VmId};
 
 /// Time after which vms that did not answer are queried again.
 const QUERY_INTERVAL: Duration = Duration::from_secs(1);
@@ -75,3 +75,28 @@
         self.windows.entry(window).or_default().received.insert(vm);
     }
 }
+
+/// Windows whose reports a store that was restored from an older copy may have lost.
+#[derive(Debug, Default)]
+pub struct LostReports {
+    era: Option<u64>,
+    /// True time at which the era was seen to rise.
+    restored_at: Option<Duration>,
+}
+
+impl LostReports {
+    /// Records a revision of the store. Must be called regularly, so that the era before is known.
+    pub fn observe(&mut self, store: Revision, now: Duration) {
+        let era = store.era();
+        if self.era.is_some_and(|known| known < era) {
+            self.restored_at = Some(now);
+        }
+        self.era = self.era.max(Some(era));
+    }
+
+    /// Whether another vm may have reported a window that ended at `end`, although the store does
+    /// not have its counts. A second report would have other counts.
+    pub fn may_include(&self, end: Duration) -> bool {
+        self.restored_at.is_some_and(|at| end <= at)
+    }
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -58,7 +58,8 @@
     u128
 );
 id!(
-    /// Revision of the platform's store. It never decreases.
+    /// Revision of the platform's store. It never decreases: a store that was restored from an older
+    /// copy gives out numbers again, and its era precedes them.
     Revision,
     u64
 );
@@ -67,3 +68,28 @@
     Fence,
     u64
 );
+
+/// Number of bits of a revision that hold the number within an era. At a thousand writes a second,
+/// that number takes 34 years to use them up.
+const REVISION_NUMBER_BITS: u32 = 40;
+
+/// Largest era, so that a revision remains exact in every JSON writer.
+const MAX_ERA: u64 = (1 << (53 - REVISION_NUMBER_BITS)) - 1;
+
+impl Revision {
+    /// Creates the revision with a number in an era of the store, or `None` if one is too large.
+    pub fn in_era(era: u64, number: u64) -> Option<Self> {
+        let is_valid = era <= MAX_ERA && number < 1 << REVISION_NUMBER_BITS;
+        is_valid.then_some(Self(era << REVISION_NUMBER_BITS | number))
+    }
+
+    /// Number of times that the store was restored from an older copy, plus a constant.
+    pub fn era(self) -> u64 {
+        self.0 >> REVISION_NUMBER_BITS
+    }
+
+    /// Number as given out by the store.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << REVISION_NUMBER_BITS) - 1)
+    }
+}
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -7,8 +7,8 @@
 use futures_util::future::join_all;
 use jujubebeam_core::authority::{Command, Event, Scope, SendResult};
 use jujubebeam_core::gateway::{
-    CollectStep, CountOrder, PermitDemand, RolePolicy, ScalePolicy, Scaler, Stage, UsageCollection,
-    WindowCounts, stage_changes,
+    CollectStep, CountOrder, LostReports, PermitDemand, RolePolicy, ScalePolicy, Scaler, Stage,
+    UsageCollection, WindowCounts, stage_changes,
 };
 use jujubebeam_core::store::{Expected, StoreOp, StoreReply};
 use jujubebeam_core::{Fence, Incarnation, Machine};
@@ -84,6 +84,7 @@
     let mut scaler = Scaler::default();
     let mut reported = BTreeSet::new();
     let mut collection = UsageCollection::default();
+    let mut lost_reports = LostReports::default();
     let mut ordered = BTreeMap::new();
     loop {
         let vms = context.shared.membership().listed();
@@ -94,7 +95,12 @@
             order_counts(context, &client, &mut scaler);
         }
         if reports_usage {
-            report_due(context, &client, &mut reported, &mut collection).await;
+            observe_era(&context.shared, &mut lost_reports);
+            let reports = Reports {
+                reported: &mut reported,
+                lost: &mut lost_reports,
+            };
+            report_due(context, &client, reports, &mut collection).await;
         }
         sleep(DUTY_INTERVAL).await;
     }
@@ -281,12 +287,27 @@
     shared.authority().fence(&Scope::Usage, shared.now())
 }
 
+fn observe_era(shared: &Shared, lost: &mut LostReports) {
+    let revision = shared.replicas().settings.mirror.complete();
+    let now = shared.usage().true_time.now(shared.now());
+    if let Some(revision) = revision {
+        lost.observe(revision, now);
+    }
+}
+
+/// Usage reports that need not or must not be sent.
+struct Reports<'a> {
+    reported: &'a mut BTreeSet<u64>,
+    lost: &'a mut LostReports,
+}
+
 async fn report_due<A: Adapters>(
     context: &Context<A>,
     client: &A::Duties,
-    reported: &mut BTreeSet<u64>,
+    reports: Reports<'_>,
     collection: &mut UsageCollection,
 ) {
+    let Reports { reported, lost } = reports;
     let shared = &context.shared;
     if usage_fence(context).is_none() {
         return;
@@ -315,8 +336,20 @@
     if !collect_counts(context, collection, window, max_wait).await {
         return;
     }
-    let Some(counts) = freeze_counts(context, window).await else {
-        return;
+    let counts = match freeze_counts(context, lost, window).await {
+        Frozen::Counts(counts) => counts,
+        Frozen::Unknown => return,
+        Frozen::MayBeReported => {
+            decision!(
+                shared,
+                DecisionKind::Duty,
+                duty = "usage",
+                window,
+                outcome = "may_be_reported"
+            );
+            reported.insert(window);
+            return;
+        }
     };
     // The lease may have been lost while the counts were collected.
     let (fence, valid_for) = {
@@ -356,29 +389,55 @@
     }
 }
 
+/// Counts of a window that a report must have.
+enum Frozen {
+    Counts(WindowCounts),
+    /// The store did not reply, or another holder is writing them.
+    Unknown,
+    /// A store that was restored has lost them, and they may have been reported.
+    MayBeReported,
+}
+
 /// Returns the counts of a window as frozen in the store. They are stored before the first report
 /// is sent, so that every holder of the lease reports the same counts.
-async fn freeze_counts<A: Adapters>(context: &Context<A>, window: u64) -> Option<WindowCounts> {
+async fn freeze_counts<A: Adapters>(
+    context: &Context<A>,
+    lost: &mut LostReports,
+    window: u64,
+) -> Frozen {
     let key = format!("usage/{window}");
     let read = StoreOp::Get { key: key.clone() };
-    if let StoreReply::Value {
-        entry: Some(entry), ..
-    } = context.store.perform(read.clone()).await
-    {
-        return rmp_serde::from_slice(&entry.value).ok();
+    let StoreReply::Value { entry, store } = context.store.perform(read).await else {
+        return Frozen::Unknown;
+    };
+    let (end, now) = {
+        let usage = context.shared.usage();
+        let now = usage.true_time.now(context.shared.now());
+        (usage.windows.end_of(window), now)
+    };
+    lost.observe(store, now);
+    if let Some(entry) = entry {
+        let counts = rmp_serde::from_slice(&entry.value);
+        return counts.map_or(Frozen::Unknown, Frozen::Counts);
+    }
+    if lost.may_include(end) {
+        return Frozen::MayBeReported;
     }
     let counts = context.shared.usage().windows.counts(window);
+    let Ok(value) = rmp_serde::to_vec(&counts) else {
+        return Frozen::Unknown;
+    };
     let op = StoreOp::Cas {
         key,
         expected: Expected::Absent,
-        value: rmp_serde::to_vec(&counts).ok()?,
+        value,
         lease: None,
         guard: None,
     };
     match context.store.perform(op).await {
-        StoreReply::Written { .. } => Some(counts),
+        StoreReply::Written { .. } => Frozen::Counts(counts),
         // Another holder has written them, or the outcome is unknown. The next round reads the key.
-        _ => None,
+        _ => Frozen::Unknown,
     }
 }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,8 +1,8 @@
 //! Messages between vms.
 
 use jujubebeam_core::gateway::{
-    MirrorDelta, PermitQuery, PermitReply, PromptEnd, PromptPlacementReply, PromptPlacementRequest,
-    RateLimitReport, ReplicaAge, RunCounts, Stage, TargetRun,
+    MirrorDelta, PackedItem, PermitQuery, PermitReply, PromptEnd, PromptPlacementReply,
+    PromptPlacementRequest, RateLimitReport, ReplicaAge, RunCounts, Stage, TargetRun,
 };
 use jujubebeam_core::quarantine::{CrashReport, QuarantineMessage};
 use jujubebeam_core::{Revision, membership};
@@ -19,6 +19,9 @@
         settings: Option<Revision>,
         /// Revision of the sender's replica of the targets.
         targets: Option<Revision>,
+        /// Version of the sender's settings in force. Earlier versions send none.
+        #[serde(default)]
+        settings_version: Option<u64>,
         /// Digest of the sender's crash counts. Vms without counts and earlier versions send none.
         #[serde(default, skip_serializing_if = "is_zero")]
         crash_digest: u64,
@@ -46,6 +49,10 @@
         /// Age of the sender's replica of the targets. Earlier versions send none.
         #[serde(default)]
         targets_age: Option<ReplicaAge>,
+        /// The settings in force, if they are newer than those of the vm that queries and the
+        /// replica does not have them: a store that was restored has older ones.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        newer_settings: Option<PackedItem>,
         /// Crash counts of the sender, if their digest differs.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         crash_reports: Vec<CrashReport>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -142,6 +142,7 @@
         Message::Ask {
             settings,
             targets,
+            settings_version,
             crash_digest,
             crash_reports,
             part_crash_digest,
@@ -159,9 +160,14 @@
                 quarantine.reports_for(crash_digest, now)
             };
             let replicas = shared.replicas();
+            let settings = replicas.settings.mirror.delta(settings);
+            let newer_settings = settings_version.and_then(|version| {
+                replication::settings_newer_than(shared, &replicas.settings, version)
+            });
             return Some(Message::News {
                 wall_us: wall_clock().as_micros() as u64,
-                settings: replicas.settings.mirror.delta(settings),
+                settings,
+                newer_settings,
                 targets: replicas.targets.mirror.delta(targets),
                 settings_age: replicas.settings.freshness.report(now),
                 targets_age: replicas.targets.freshness.report(now),
@@ -175,6 +181,7 @@
             targets,
             settings_age,
             targets_age,
+            newer_settings,
             crash_reports,
             part_crash_reports,
         } => {
@@ -195,6 +202,9 @@
                 targets_age,
                 began_at,
             );
+            if let Some(item) = newer_settings {
+                replication::merge_newer_settings(context, item);
+            }
             shared.quarantine().merge(&crash_reports, now);
             shared.part_crashes().merge(&part_crash_reports, now);
             shared.compared_with(from);
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -1,12 +1,16 @@
 //! Replication of the settings and the list of targets: from the store, and from other vms.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
-use jujubebeam_core::VmId;
-use jujubebeam_core::gateway::{MirrorDelta, PeerSelector, RefreshStep, ReplicaAge, TargetChange};
+use jujubebeam_core::gateway::{
+    MirrorDelta, MirrorItem, PackedItem, PackedValue, PeerSelector, RefreshStep, ReplicaAge,
+    TargetChange,
+};
 use jujubebeam_core::membership::first_of;
 use jujubebeam_core::store::{StoreOp, StoreReply};
+use jujubebeam_core::{Revision, VmId};
 use ntex::time::{sleep, timeout};
 use smallvec::SmallVec;
 use strum::{Display, IntoStaticStr};
@@ -332,7 +336,24 @@
 fn update<R>(shared: &Shared, kind: ReplicaKind, change: impl FnOnce(&mut Replica) -> R) -> R {
     let mut replicas = shared.replicas();
     let replica = replicas.get_mut(kind);
+    let before = replica.mirror.complete();
     let changed = change(replica);
+    let complete = replica.mirror.complete();
+    let era = complete.map(Revision::era);
+    if before.is_some_and(|before| Some(before.era()) < era) {
+        replica.restored_at = complete.map(|complete| (complete, false));
+        shared.set_restored(shared.now());
+        decision!(
+            shared,
+            DecisionKind::Dependency,
+            dependency = "store",
+            replica:% = kind,
+            state = "restored",
+            era,
+            revision = complete.map(Revision::number),
+            revision_before = before.map(Revision::number)
+        );
+    }
     if kind == ReplicaKind::Targets {
         let now = shared.now();
         if let Some(age) = replica.freshness.age(now) {
@@ -351,19 +372,57 @@
 }
 
 fn apply_settings<A: Adapters>(context: &Context<A>, source: Source) {
-    let shared = &context.shared;
-    let values: Vec<_> = {
-        let replicas = shared.replicas();
+    let items: Vec<_> = {
+        let replicas = context.shared.replicas();
         let items = replicas.settings.mirror.items();
-        items
-            .map(|(key, revision, value)| (key.to_owned(), revision, value.to_vec()))
-            .collect()
+        let items = items.map(|(key, revision, value)| MirrorItem {
+            key: key.to_owned(),
+            revision,
+            value: Some(value.to_vec()),
+        });
+        items.collect()
     };
-    for (key, revision, value) in values {
-        match A::Wire::settings(&key, &value) {
+    apply_settings_items(context, items, source);
+}
+
+/// The settings in force, if they are newer than a version and the replica has older ones.
+pub(crate) fn settings_newer_than(
+    shared: &Shared,
+    replica: &Replica,
+    version: u64,
+) -> Option<PackedItem> {
+    shared.settings().filter(|own| own.version > version)?;
+    let item = shared.stored_settings().clone()?;
+    let mut replicated = replica.mirror.items();
+    if replicated.any(|(key, revision, _)| key == item.key && revision == item.revision) {
+        return None;
+    }
+    Some(PackedItem {
+        key: item.key.clone(),
+        revision: item.revision,
+        value: item.value.as_deref().map(PackedValue::pack),
+    })
+}
+
+/// Puts settings of another vm in force that a restored store does not have any more.
+pub(crate) fn merge_newer_settings<A: Adapters>(context: &Context<A>, item: PackedItem) {
+    let item = MirrorItem {
+        key: item.key,
+        revision: item.revision,
+        value: item.value.and_then(|value| value.unpack()),
+    };
+    apply_settings_items(context, vec![item], Source::Vm);
+}
+
+fn apply_settings_items<A: Adapters>(context: &Context<A>, items: Vec<MirrorItem>, source: Source) {
+    let shared = &context.shared;
+    for item in items {
+        let (revision, value) = (item.revision, item.value.as_deref().unwrap_or_default());
+        match A::Wire::settings(&item.key, value) {
             StoredSettings::Settings(settings) => {
                 let (version, routes) = (settings.version, settings.routes.len());
                 if shared.set_settings(*settings) {
+                    *shared.stored_settings() = Some(Arc::new(item));
                     decision!(
                         shared,
                         DecisionKind::Settings,
@@ -392,8 +451,10 @@
 fn apply_targets<A: Adapters>(context: &Context<A>, source: Source) {
     let shared = &context.shared;
     let mut invalid_keys = BTreeSet::new();
-    let (complete, entries): (_, Vec<_>) = {
-        let replicas = shared.replicas();
+    let (complete, mut entries, restored_at): (_, Vec<_>, _) = {
+        let mut replicas = shared.replicas();
+        let restored_at = replicas.targets.restored_at;
+        replicas.targets.restored_at = restored_at.map(|(at, _)| (at, true));
         let items = replicas.targets.mirror.items();
         let entries = items.filter_map(|(key, at, value)| {
             let target = A::Wire::target(key, value, at);
@@ -402,9 +463,10 @@
             if target.is_none() {
                 invalid_keys.insert(key.to_owned());
             }
-            target
+            Some((target?, at))
         });
-        (replicas.targets.mirror.complete(), entries.collect())
+        let entries = entries.collect();
+        (replicas.targets.mirror.complete(), entries, restored_at)
     };
     let Some(complete) = complete else {
         return;
@@ -413,7 +475,20 @@
     let count = entries.len();
     let now = shared.now();
     let hold = shared.hold_time(now);
-    let changes = shared.fleet().catalog.update(entries, hold, now);
+    let changes = {
+        let mut fleet = shared.fleet();
+        if let Some((at, is_applied)) = restored_at {
+            if !is_applied {
+                let copied: Vec<_> = entries.iter().map(|(entry, _)| entry.clone()).collect();
+                fleet.catalog.keep_departures(&copied);
+            }
+            entries.retain(|(entry, written_at)| {
+                *written_at > at || !fleet.catalog.has_departed(entry)
+            });
+        }
+        let entries = entries.into_iter().map(|(entry, _)| entry).collect();
+        fleet.catalog.update(entries, hold, now)
+    };
     record_changes(shared, changes, source);
     shared.set_has_targets();
     shared.metrics.targets.set(count as i64);
@@ -519,6 +594,7 @@
     Message::Ask {
         settings: replicas.settings.mirror.complete(),
         targets: replicas.targets.mirror.complete(),
+        settings_version: Some(shared.settings().map_or(0, |settings| settings.version)),
         crash_digest,
         crash_reports,
         part_crash_digest,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,12 +7,12 @@
 use jujubebeam_core::authority::{Authority, AuthorityConfig, Holder};
 use jujubebeam_core::gateway::{
     Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, Freshness, GatewaySettings, Mirror,
-    PartCrashes, PermitConfig, Permits, PlacementConfig, Placer, PromptOwner, PromptRequestId,
-    RateLimits, Stage, StartGate, TrueTime, UnresponsiveOwners, UsageWindows,
+    MirrorItem, PartCrashes, PermitConfig, Permits, PlacementConfig, Placer, PromptOwner,
+    PromptRequestId, RateLimits, Stage, StartGate, TrueTime, UnresponsiveOwners, UsageWindows,
 };
 use jujubebeam_core::membership::{Membership, MembershipConfig, Record};
 use jujubebeam_core::quarantine::{Quarantine, QuarantineConfig};
-use jujubebeam_core::{Clock, Incarnation, SystemClock, VmId};
+use jujubebeam_core::{Clock, Incarnation, Revision, SystemClock, VmId};
 use tokio::sync::Notify;
 
 use crate::config::GatewayConfig;
@@ -71,6 +71,9 @@
 pub(crate) struct Replica {
     pub(crate) mirror: Mirror,
     pub(crate) freshness: Freshness,
+    /// Revision of the first listing after the store was restored from an older copy, with whether
+    /// it has been applied.
+    pub(crate) restored_at: Option<(Revision, bool)>,
 }
 
 impl Replica {
@@ -78,6 +81,7 @@
         Self {
             mirror: Mirror::default(),
             freshness: Freshness::new(max_gap),
+            restored_at: None,
         }
     }
 }
@@ -122,6 +126,10 @@
     pub(crate) decision_log: DecisionLog,
     pub(crate) metrics: Metrics,
     settings: RwLock<Option<Arc<GatewaySettings>>>,
+    /// The settings in force as stored. A store that was restored may have older ones.
+    stored_settings: Mutex<Option<Arc<MirrorItem>>>,
+    /// Monotonic time in milliseconds at which the store was last seen to be restored, or 0.
+    restored_ms: AtomicU64,
     fleet: Mutex<Fleet>,
     replicas: Mutex<Replicas>,
     budget: Mutex<ArrivalBudget>,
@@ -214,6 +222,8 @@
             decision_log: DecisionLog::default(),
             metrics: Metrics::new(),
             settings: RwLock::new(None),
+            stored_settings: Mutex::default(),
+            restored_ms: AtomicU64::new(0),
             fleet: Mutex::new(Fleet {
                 catalog: Catalog::default(),
                 owner: PromptOwner::new(placement.clone()),
@@ -282,6 +292,16 @@
         true
     }
 
+    pub(crate) fn stored_settings(&self) -> MutexGuard<'_, Option<Arc<MirrorItem>>> {
+        lock(&self.stored_settings)
+    }
+
+    /// Records that the store was restored from an older copy.
+    pub(crate) fn set_restored(&self, now: Duration) {
+        self.restored_ms
+            .store(now.as_millis() as u64, Ordering::Relaxed);
+    }
+
     pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
         lock(&self.fleet)
     }
@@ -417,7 +437,14 @@
     pub(crate) fn hold_time(&self, now: Duration) -> Duration {
         let readable_for = self.replicas().targets.freshness.readable_for(now);
         let hold = Duration::from_millis(self.config.reappear_ms);
-        hold.saturating_sub(readable_for.unwrap_or(hold))
+        let readable_for = readable_for.unwrap_or(hold);
+        // A copy lacks the entries that were written after it, however short the outage was.
+        let restored_ms = self.restored_ms.load(Ordering::Relaxed);
+        let restored_for = match restored_ms {
+            0 => readable_for,
+            _ => now.saturating_sub(Duration::from_millis(restored_ms)),
+        };
+        hold.saturating_sub(readable_for.min(restored_for))
     }
 }
 
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -65,6 +65,8 @@
     pub code: u16,
     /// Decoded body.
     pub body: T,
+    /// Value of the header that the client reports.
+    pub header: Option<String>,
 }
 
 /// Sends JSON requests to one base address.
@@ -73,6 +75,7 @@
     client: Client,
     base: String,
     timeout: Duration,
+    reported_header: Option<&'static str>,
 }
 
 impl JsonClient {
@@ -82,9 +85,16 @@
             client,
             base: format!("http://{address}"),
             timeout,
+            reported_header: None,
         }
     }
 
+    /// Reports the value of a header with each answer and each error status.
+    pub fn reporting_header(mut self, name: &'static str) -> Self {
+        self.reported_header = Some(name);
+        self
+    }
+
     /// Returns the underlying HTTP client.
     pub fn http(&self) -> &Client {
         &self.client
@@ -121,7 +131,7 @@
             .request(method, self.url(path))
             .timeout(Millis::ZERO);
         let budget = Millis(self.timeout.as_millis().min(u128::from(u32::MAX)) as u32);
-        match time::timeout(budget, exchange(request, body)).await {
+        match time::timeout(budget, exchange(request, body, self.reported_header)).await {
             Ok(result) => result,
             Err(()) => Err(CallError::NoAnswer("timeout".into())),
         }
@@ -131,6 +141,7 @@
 async fn exchange<B: Serialize, T: DeserializeOwned>(
     request: ClientRequest,
     body: Option<&B>,
+    reported_header: Option<&'static str>,
 ) -> Result<JsonResponse<T>, CallError> {
     let response = match body {
         Some(body) => {
@@ -148,8 +159,10 @@
         .body()
         .await
         .map_err(|e| CallError::NoAnswer(e.to_string()))?;
+    let header = reported_header.and_then(|name| response.headers().get(name));
+    let header = header.and_then(|v| v.to_str().ok()).map(str::to_owned);
     if !status.is_success() {
-        return Err(status_error(status, &response, &bytes));
+        return Err(status_error(status, &response, &bytes, header));
     }
     // In a list with items of several writers, invalid bytes in one must not hide the others.
     let text = String::from_utf8_lossy(&bytes);
@@ -157,10 +170,16 @@
     Ok(JsonResponse {
         code: status.as_u16(),
         body,
+        header,
     })
 }
 
-fn status_error(status: StatusCode, response: &ClientResponse, bytes: &[u8]) -> CallError {
+fn status_error(
+    status: StatusCode,
+    response: &ClientResponse,
+    bytes: &[u8],
+    header: Option<String>,
+) -> CallError {
     let retry_after_s = response
         .headers()
         .get(header::RETRY_AFTER)
@@ -171,5 +190,6 @@
         code: status.as_u16(),
         retry_after_s,
         body: String::from_utf8_lossy(&bytes[..end]).into_owned(),
+        header,
     }
 }
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -19,6 +19,8 @@
         retry_after_s: Option<u32>,
         /// First part of the body.
         body: String,
+        /// Value of the header that the client reports.
+        header: Option<String>,
     },
     /// The peer's answer could not be decoded.
     Malformed(String),
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -74,6 +74,7 @@
                 code: status.as_u16(),
                 retry_after_s: None,
                 body: String::from_utf8_lossy(&bytes).into_owned(),
+                header: None,
             });
         }
         decode(&bytes).map_err(|e| CallError::Malformed(e.to_string()))
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -83,6 +83,7 @@
                 code: response.status().as_u16(),
                 retry_after_s: None,
                 body: String::new(),
+                header: None,
             }));
         }
         Ok(Watcher {
