Refuse a request whose body arrives too late in the grace period

A caller whose request body ended 5 s after the signal got no answer: the vm had accepted the head within 2.5 s, passed the request on and closed the connection at the end of the grace period (the test got status 0, 503 expected). The check was made once, before the body was read.

It is made again after the body. A request that could be running when the vm ends is refused as not run; one whose deadline is before that is still served. With a short grace period, requests are accepted for a third of it at most, so that the rest is left for their answers.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -30,11 +30,6 @@
 /// Timeout of a request for which neither the caller nor the route sets one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Time after a shutdown signal during which requests are still accepted. Later ones come from
-/// callers that kept the address beyond its lifetime. They are refused so that they retry at
-/// another vm, while the accepted requests are finished.
-const ACCEPT_WHILE_LEAVING: Duration = Duration::from_millis(2500);
-
 /// Headers that apply to a single connection, or that the gateway sets itself.
 pub(crate) const HOP_HEADERS: [&str; 11] = [
     "connection",
@@ -111,10 +106,7 @@
     let Some(settings) = shared.settings().filter(|_| shared.has_started()) else {
         return Err(rejected(Refusal::starting()));
     };
-    if shared
-        .time_since_leaving()
-        .is_some_and(|time| time > ACCEPT_WHILE_LEAVING)
-    {
+    if shared.has_stopped_accepting() {
         return Err(rejected(Refusal::leaving()));
     }
     let host = request.headers().get("host").and_then(|h| h.to_str().ok());
@@ -141,6 +133,10 @@
             return Err(rejected(refusal));
         }
     };
+    // The body may have taken a while.
+    if shared.is_leaving_before(expires_at) {
+        return Err(rejected(Refusal::leaving()));
+    }
     let mut hasher = DefaultHasher::new();
     incoming.attempt_id.hash(&mut hasher);
     let Some(service) = route.service_for(hasher.finish()) else {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -36,7 +36,7 @@
 
 /// Part of the grace period that is reserved for closing listeners and ending the process. With 0.5
 /// s the process was killed on a slowed vm, where a timer fired 0.13 s late.
-const CLOSING_RESERVE: Duration = Duration::from_millis(700);
+pub(crate) const CLOSING_RESERVE: Duration = Duration::from_millis(700);
 
 /// Shared state and the clients of one thread. Clones share the clients.
 pub(crate) struct Context<A: Adapters> {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use jujubebeam_core::quarantine::{Quarantine, QuarantineConfig};
 use jujubebeam_core::{Clock, Incarnation, Revision, SystemClock, VmId};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::config::GatewayConfig;
 use crate::decision_log::DecisionLog;
@@ -22,6 +23,15 @@
 use crate::metrics::Metrics;
 use crate::owner::PromptEnds;
 use crate::replication::ReplicaKind;
+use crate::server::CLOSING_RESERVE;
+
+/// Time after a shutdown signal during which requests are still accepted. Later ones come from
+/// callers that kept the address beyond its lifetime. They are refused so that they retry at
+/// another vm, while the accepted requests are finished.
+const ACCEPT_WHILE_LEAVING: Duration = Duration::from_millis(2500);
+
+/// Largest share of the grace period that this may take. The rest is for finishing the requests.
+const ACCEPT_SHARE: f64 = 1.0 / 3.0;
 
 /// Known targets and the estimates of their load.
 #[derive(Debug)]
@@ -373,6 +383,23 @@
         Some(self.now().saturating_sub(since))
     }
 
+    /// Whether this vm is leaving and accepts no more requests.
+    pub(crate) fn has_stopped_accepting(&self) -> bool {
+        let grace = Duration::from_millis(self.config.shutdown_grace_ms);
+        let limit = ACCEPT_WHILE_LEAVING.min(grace.mul_f64(ACCEPT_SHARE));
+        self.time_since_leaving().is_some_and(|time| time > limit)
+    }
+
+    /// Whether this vm has stopped accepting requests and may end before `expires_at`.
+    pub(crate) fn is_leaving_before(&self, expires_at: Instant) -> bool {
+        let Some(leaving_for) = self.time_since_leaving() else {
+            return false;
+        };
+        let grace = Duration::from_millis(self.config.shutdown_grace_ms);
+        let left = grace.saturating_sub(CLOSING_RESERVE + leaving_for);
+        self.has_stopped_accepting() && Instant::now() + left < expires_at
+    }
+
     pub(crate) fn start_leaving(&self) {
         let now_ms = (self.now().as_millis() as u64).max(1);
         self.leaving_since_ms.store(now_ms, Ordering::Relaxed);
