Let answers that end with their connections clear a suspected part

A part of sound requests would be refused for good on targets whose answers have neither a length nor chunks: no such answer cleared it, because a crash looks like its end. In the test, six broken streams among whole ones made the vm refuse all (503 after the fifth, 200 expected).

If a part of such an answer is suspected, the vm connects to the target 0.1 s later. A target that has crashed takes seconds to come back, so an open listener clears the part as any whole answer does. Nothing is connected while no part of the request is suspected.

--- a/crates/core/src/gateway/part_crashes.rs
+++ b/crates/core/src/gateway/part_crashes.rs
@@ -139,6 +139,13 @@
             })
     }
 
+    /// Whether crashes count against one of these parts.
+    pub fn is_any_suspect(&self, parts: &[Fingerprint], now: Duration) -> bool {
+        let mut parts = parts.iter();
+        !self.counts.has_no_counts()
+            && parts.any(|part| self.counts.verdict(*part, now) != Verdict::Clear)
+    }
+
     /// Whether a request may test a refused part. Only one vm of the fleet may ask.
     pub fn take_trial(&mut self, part: Fingerprint, now: Duration) -> bool {
         let interval = self.config.trial_interval;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -293,7 +293,7 @@
         return AttemptResult::Failed(AttemptEnd::Broken, reason);
     }
     let has_announced_end = crashes::has_announced_end(&parts.headers);
-    crashes::report_success(context, job, parts.status, has_announced_end);
+    crashes::report_success(context, job, placement, parts.status, has_announced_end);
     AttemptResult::Complete(CompleteAnswer { parts, body })
 }
 
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -2,12 +2,17 @@
 //! See [`jujubebeam_core::quarantine`] and [`jujubebeam_core::gateway::PartCrashes`].
 
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
 
 use http::header;
 use jujubebeam_core::gateway::{Placement, owner_of};
 use jujubebeam_core::quarantine::{QuarantineCommand, QuarantineEvent, QuarantineMessage, Verdict};
 use jujubebeam_core::{Machine, TargetId};
 
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
 use crate::adapters::Adapters;
 use crate::answer::{Reason, Refusal};
 use crate::decision_log::{DecisionKind, decision, millis};
@@ -17,6 +22,13 @@
 use crate::server::Context;
 use crate::state::Shared;
 
+/// Time from the end of an answer to the check whether its target is alive. A process that crashes
+/// closes its connections and its listener at the same time.
+const ALIVE_CHECK_DELAY: Duration = Duration::from_millis(100);
+
+/// Timeout of that check. Zones are at most a few milliseconds apart.
+const ALIVE_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Refusal of a request that, or a prompt part of which, crashes targets. The verdict may change
 /// until each send.
 pub(crate) fn refusal<A: Adapters>(context: &Context<A>, job: &Job) -> Option<Refusal> {
@@ -84,11 +96,12 @@
     log_counts(shared, job, &placement.target.id, "counted");
 }
 
-/// Reports that the request got a complete answer with these headers. Only a success proves that the
-/// target has written the answer, and only one whose end is announced that it has not crashed.
+/// Reports that the request got a complete answer from a target. Only a success proves that the
+/// target has written an answer, and only one whose end is announced that it has not crashed.
 pub(crate) fn report_success<A: Adapters>(
     context: &Context<A>,
-    job: &Job,
+    job: &Rc<Job>,
+    placement: &Placement,
     status: http::StatusCode,
     has_announced_end: bool,
 ) {
@@ -98,9 +111,36 @@
     if is_suspect {
         feed_quarantine(context, QuarantineEvent::Completed { fingerprint });
     }
-    if job.part_fingerprints.is_empty() || !status.is_success() || !has_announced_end {
+    if job.part_fingerprints.is_empty() || !status.is_success() {
         return;
     }
+    if has_announced_end {
+        clear_parts(context, job, is_suspect);
+    } else if shared
+        .part_crashes()
+        .is_any_suspect(&job.part_fingerprints, now)
+    {
+        let (context, job) = (context.clone(), job.clone());
+        let address = placement.target.address.clone();
+        ntex::rt::spawn(async move {
+            if is_alive(&address).await {
+                clear_parts(&context, &job, is_suspect);
+            }
+        });
+    }
+}
+
+/// Whether a target still accepts connections shortly after the end of an answer. One that has
+/// crashed takes seconds to come back.
+async fn is_alive(address: &str) -> bool {
+    sleep(ALIVE_CHECK_DELAY).await;
+    let connected = timeout(ALIVE_CHECK_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
+/// Clears the parts of a request at all vms.
+fn clear_parts<A: Adapters>(context: &Context<A>, job: &Job, is_suspect: bool) {
+    let (shared, now) = (&context.shared, context.shared.now());
     let messages = shared.part_crashes().completed(&job.part_fingerprints, now);
     let is_cleared = !messages.is_empty();
     broadcast(context, messages);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -363,9 +363,15 @@
         if let Some(source) = self.source.take() {
             let key = source.in_flight.placement.key;
             self.context.pool.release(key, source.connection);
-            let has_announced_end = source.has_announced_end;
-            let status = StatusCode::OK;
-            crashes::report_success(&self.context, &self.job, status, has_announced_end);
+            let (status, has_announced_end) = (StatusCode::OK, source.has_announced_end);
+            let placement = &source.in_flight.placement;
+            crashes::report_success(
+                &self.context,
+                &self.job,
+                placement,
+                status,
+                has_announced_end,
+            );
         }
         let pause = Some(self.longest_pause);
         record_answer(&self.context.shared, &self.job, 200, pause);
