Wait for the end of a lost lease, whoever held it

A vm noticed the era of a restored store only when it had read a missing lease key before, so the first vm to see that the key of another one is gone requested the lease at once, beside a holder that is still valid: granted after 0 s in the test, valid for 6 s. Every reading of the key records the era now. A key that was created before a restore makes no holder either, if the listing of the orders is of a later era (the test got a KeepAlive before).

--- a/crates/core/src/authority/lease.rs
+++ b/crates/core/src/authority/lease.rs
@@ -453,13 +453,14 @@
     ) {
         let retry = now + common.config.retry_delay;
         match (self.phase, reply) {
-            (Phase::Idle, StoreReply::Value { entry: None, store }) => {
+            (Phase::Idle, StoreReply::Value { entry, store }) => {
                 let era = store.era();
                 let is_restored = self.seen_era.replace(era).is_some_and(|seen| seen < era);
-                match is_restored {
+                match entry {
                     // The copy may lack the key of a holder whose lease is still valid.
-                    true => self.not_before = now + common.config.ttl,
-                    false => self.phase = Phase::Granting,
+                    None if is_restored => self.not_before = now + common.config.ttl,
+                    None => self.phase = Phase::Granting,
+                    Some(_) => self.not_before = now + common.probe_delay(&self.scope),
                 }
             }
             (Phase::Idle, _) => self.not_before = now + common.probe_delay(&self.scope),
@@ -487,6 +488,12 @@
             (Phase::ReadingBack, _) if now >= self.valid_until => self.abandon_lease(),
             (Phase::ReadingBack, _) => self.not_before = retry,
             (Phase::Listing, _) if now >= self.valid_until => self.abandon_lease(),
+            // The store was restored after the key had been created, so the key may be lost.
+            (Phase::Listing, StoreReply::Values { store, .. })
+                if store.era() > Revision(self.fence.0).era() =>
+            {
+                self.abandon_lease();
+            }
             (Phase::Listing, StoreReply::Values { entries, .. }) => {
                 self.fresh_list_from = now + common.config.max_vm_list_age;
                 self.become_holder(entries, out);
