Log eras apart from the numbers of revisions

A revision holds the era of the store in its high bits, so the lines settings and targets would have named numbers that no operator finds in the store. The state of a restored replica has a type of its own. No change of behaviour.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -7,7 +7,9 @@
 
 use http::header;
 use jujubebeam_core::gateway::{Placement, owner_of};
-use jujubebeam_core::quarantine::{QuarantineCommand, QuarantineEvent, QuarantineMessage, Verdict};
+use jujubebeam_core::quarantine::{
+    Fingerprint, QuarantineCommand, QuarantineEvent, QuarantineMessage, Verdict,
+};
 use jujubebeam_core::{Machine, TargetId};
 
 use tokio::net::TcpStream;
@@ -42,7 +44,7 @@
     let refused = {
         let mut part_crashes = shared.part_crashes();
         let refused = part_crashes.refused_part(&job.part_fingerprints, now)?;
-        let is_trial = is_trial_owner(shared, refused.fingerprint.0)
+        let is_trial = is_trial_owner(shared, refused.fingerprint)
             && part_crashes.take_trial(refused.fingerprint, now);
         job.is_trial.set(is_trial);
         refused
@@ -51,7 +53,7 @@
         shared,
         DecisionKind::PartRefused,
         request = job.incoming.attempt_id.as_str(),
-        part:% = part_name(job, |fingerprint| fingerprint == refused.fingerprint),
+        part = part_name(job, refused.fingerprint),
         is_trial = job.is_trial.get(),
         retry_after_ms = millis(refused.retry_after)
     );
@@ -60,21 +62,18 @@
 }
 
 /// Whether this vm is the one that may test whether a refused part still crashes targets.
-fn is_trial_owner(shared: &Shared, fingerprint: [u8; 16]) -> bool {
+fn is_trial_owner(shared: &Shared, fingerprint: Fingerprint) -> bool {
     let vms = shared.membership().coordinator_candidates(shared.now());
-    let name = format!("{:032x}", u128::from_be_bytes(fingerprint));
+    let name = format!("{:032x}", u128::from_be_bytes(fingerprint.0));
     owner_of(&name, &vms) == Some(shared.vm)
 }
 
-/// Names of the parts with these fingerprints, as in the request.
-fn part_name(
-    job: &Job,
-    is_named: impl Fn(jujubebeam_core::quarantine::Fingerprint) -> bool,
-) -> String {
+/// Id of the part with this fingerprint, as in the request.
+fn part_name(job: &Job, refused: Fingerprint) -> String {
     let parts = job.incoming.prompt_parts.iter().zip(&job.part_fingerprints);
-    let named = parts.filter(|(_, fingerprint)| is_named(**fingerprint));
-    let names: Vec<_> = named.map(|(part, _)| format!("{:x}", part.id)).collect();
-    names.join(",")
+    let mut named = parts.filter(|(_, fingerprint)| **fingerprint == refused);
+    let part = named.next();
+    part.map_or_else(String::new, |(part, _)| format!("{:x}", part.id))
 }
 
 /// Reports that a connection broke while the target had the request. If the target crashed, the
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -20,7 +20,7 @@
 use crate::message::Message;
 use crate::peers;
 use crate::server::Context;
-use crate::state::{Replica, Shared};
+use crate::state::{Replica, Restored, Shared};
 
 /// Interval between queries to a random vm for updates. A change reaches all vms within a few
 /// rounds, well within the 2 s in which settings must be in force.
@@ -341,7 +341,10 @@
     let complete = replica.mirror.complete();
     let era = complete.map(Revision::era);
     if before.is_some_and(|before| Some(before.era()) < era) {
-        replica.restored_at = complete.map(|complete| (complete, false));
+        replica.restored = complete.map(|at| Restored {
+            at,
+            is_applied: false,
+        });
         shared.set_restored(shared.now());
         decision!(
             shared,
@@ -427,7 +430,8 @@
                         shared,
                         DecisionKind::Settings,
                         version,
-                        revision = revision.0,
+                        era = revision.era(),
+                        revision = revision.number(),
                         routes,
                         source:% = source,
                         outcome = "in_force"
@@ -438,7 +442,8 @@
                 decision!(
                     shared,
                     DecisionKind::Settings,
-                    revision = revision.0,
+                    era = revision.era(),
+                    revision = revision.number(),
                     fault:% = fault,
                     outcome = "kept_old"
                 );
@@ -451,10 +456,12 @@
 fn apply_targets<A: Adapters>(context: &Context<A>, source: Source) {
     let shared = &context.shared;
     let mut invalid_keys = BTreeSet::new();
-    let (complete, mut entries, restored_at): (_, Vec<_>, _) = {
+    let (complete, mut entries, restored): (_, Vec<_>, _) = {
         let mut replicas = shared.replicas();
-        let restored_at = replicas.targets.restored_at;
-        replicas.targets.restored_at = restored_at.map(|(at, _)| (at, true));
+        let restored = replicas.targets.restored;
+        if let Some(restored) = &mut replicas.targets.restored {
+            restored.is_applied = true;
+        }
         let items = replicas.targets.mirror.items();
         let entries = items.filter_map(|(key, at, value)| {
             let target = A::Wire::target(key, value, at);
@@ -466,7 +473,7 @@
             Some((target?, at))
         });
         let entries = entries.collect();
-        (replicas.targets.mirror.complete(), entries, restored_at)
+        (replicas.targets.mirror.complete(), entries, restored)
     };
     let Some(complete) = complete else {
         return;
@@ -477,7 +484,7 @@
     let hold = shared.hold_time(now);
     let changes = {
         let mut fleet = shared.fleet();
-        if let Some((at, is_applied)) = restored_at {
+        if let Some(Restored { at, is_applied }) = restored {
             if !is_applied {
                 let copied: Vec<_> = entries.iter().map(|(entry, _)| entry.clone()).collect();
                 fleet.catalog.keep_departures(&copied);
@@ -496,7 +503,8 @@
         shared,
         DecisionKind::Targets,
         targets = count,
-        revision = complete.0,
+        era = complete.era(),
+        revision = complete.number(),
         hold_ms = millis(hold),
         source:% = source,
         age_ms = millis(shared.targets_age())
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -81,9 +81,17 @@
 pub(crate) struct Replica {
     pub(crate) mirror: Mirror,
     pub(crate) freshness: Freshness,
-    /// Revision of the first listing after the store was restored from an older copy, with whether
-    /// it has been applied.
-    pub(crate) restored_at: Option<(Revision, bool)>,
+    /// Set once the store was restored from an older copy.
+    pub(crate) restored: Option<Restored>,
+}
+
+/// A replica whose store was restored from an older copy.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Restored {
+    /// Revision of the first update after that. Later entries were written anew.
+    pub(crate) at: Revision,
+    /// Whether that update has been applied.
+    pub(crate) is_applied: bool,
 }
 
 impl Replica {
@@ -91,7 +99,7 @@
         Self {
             mirror: Mirror::default(),
             freshness: Freshness::new(max_gap),
-            restored_at: None,
+            restored: None,
         }
     }
 }
