Log how long a cut stream was silent, its target and its settings version

A cut_off line named neither the target nor the time since the last event, and no line told whether settings had changed while the stream was running, so a silent target, a change of settings and a broken connection looked alike.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -222,7 +222,9 @@
                 shared,
                 DecisionKind::CallerLeft,
                 request = self.job.incoming.attempt_id.as_str(),
+                target:% = self.job.current_target.borrow(),
                 midway = true,
+                silent_ms = millis(self.last_event_at.elapsed()),
                 after_ms = millis(self.job.arrived_at.elapsed())
             );
         }
@@ -557,9 +559,13 @@
             DecisionKind::Ended,
             request = self.job.incoming.attempt_id.as_str(),
             route = self.job.route().name.as_str(),
+            target:% = self.job.current_target.borrow(),
             reason = "cut_off",
             cause = reason,
             last_event = self.position.last_id(),
+            silent_ms = millis(self.last_event_at.elapsed()),
+            settings_version = self.job.settings.version,
+            newest_version = shared.settings().map(|settings| settings.version),
             after_ms = millis(self.job.arrived_at.elapsed())
         );
         // An error from here would make ntex write an error response into the middle of the body.
