Move the check of conditions from earlier eras out of the platform's adapter

The adapter for the users' store answered a conditional write as a conflict, without sending it, if the condition was a revision of an earlier era. That is a decision: the protocol of the store compares numbers only and knows no such answer. Whether a write is withheld, and what its writer is told, depends on the newest era that this vm has seen. `platform/` only translates.

`StoreApi::perform` in the gateway is a provided method that applies it and reads the key instead, so its callers need no change. Not moved: the reply to a watch of another era, which only reads the era of its own answer.

Not run: the rest of the workspace's tests.

--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -112,6 +112,37 @@
     },
 }
 
+impl StoreOp {
+    /// Key that this operation writes under a condition from before an era of the store, or `None`
+    /// if it has no such condition. A restored store gives the numbers of revisions out again, so
+    /// the condition may hold for another value.
+    pub fn outdated_key(&self, era: u64) -> Option<&str> {
+        let (key, expected, guard) = match self {
+            Self::Cas {
+                key,
+                expected,
+                guard,
+                ..
+            } => (key, *expected, guard.as_ref()),
+            Self::Delete { key, expected } => (key, Expected::At(*expected), None),
+            Self::Get { .. }
+            | Self::List { .. }
+            | Self::ListSince { .. }
+            | Self::CreateAll { .. }
+            | Self::GrantLease { .. }
+            | Self::KeepAlive { .. }
+            | Self::Revoke { .. } => return None,
+        };
+        let expected = match expected {
+            Expected::Absent => None,
+            Expected::At(revision) => Some(revision),
+        };
+        let mut revisions = expected.into_iter().chain(guard.map(|guard| guard.created));
+        let is_outdated = revisions.any(|revision| revision.era() < era);
+        is_outdated.then_some(key)
+    }
+}
+
 /// An operation with the token of its reply.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreCall {
@@ -171,3 +202,17 @@
     /// No answer arrived. The call may or may not have taken effect.
     Unknown,
 }
+
+impl StoreReply {
+    /// Conflict of a write that was not sent, from the reply to reading its key instead. A failed
+    /// read stays as it is.
+    pub fn into_conflict(self) -> Self {
+        match self {
+            Self::Value { entry, store } => Self::Conflict {
+                current: entry,
+                store,
+            },
+            other => other,
+        }
+    }
+}
--- a/crates/gateway/src/adapters.rs
+++ b/crates/gateway/src/adapters.rs
@@ -229,8 +229,26 @@
 pub trait StoreApi: Sized + 'static {
     /// Creates a client for use on one thread.
     fn new(http: Client, address: &str) -> Self;
-    /// Performs an operation.
-    fn perform(&self, op: StoreOp) -> impl Future<Output = StoreReply>;
+    /// Newest era of the store that an answer has had, or 0 if none had one.
+    fn newest_era(&self) -> u64;
+    /// Sends an operation as it is. Others call [`StoreApi::perform`], because the store compares
+    /// the numbers of revisions without their eras.
+    fn send(&self, op: StoreOp) -> impl Future<Output = StoreReply>;
+    /// Performs an operation. A write with a condition from an earlier era is not sent, because its
+    /// condition could hold for another value; it is a conflict with the current entry.
+    fn perform(&self, op: StoreOp) -> impl Future<Output = StoreReply> {
+        async move {
+            match op.outdated_key(self.newest_era()) {
+                Some(key) => {
+                    let read = StoreOp::Get {
+                        key: key.to_owned(),
+                    };
+                    self.send(read).await.into_conflict()
+                }
+                None => self.send(op).await,
+            }
+        }
+    }
     /// Lists the keys with a prefix. The reply may be some seconds old.
     fn list_stale(&self, prefix: &str) -> impl Future<Output = StoreReply>;
     /// Waits for changes after a revision, for `wait` at most. After a failure, the next call uses a
