Soak streams and requests against targets that fall silent

Targets run as processes of their own, which are stopped for 0.5 to 2.5 s and continued, up to three of ten at once, beside changes of settings in series, SIGHUP and restarts of vms in turn. Callers keep their connections and disconnect from a stream after 2 s without an event. A connection that ends within an answer before its caller would leave is a find; so are wrong, missing or repeated events, a second run of a request that runs once, a refusal of a request that ran, and 5xx other than 503 before the deadline.

Finds on, all of them streams that are cut 1.1 s after their last event while their target is silent (cut_off, "no event for 1000 ms"):

Not part of it: connections that are cut off below HTTP, because the kernel acknowledges what is sent to a stopped process; targets that leave or end; time-outs of routes that bind.

--- a/crates/jujubebeam/tests/gateway_soak/fleet.rs
+++ b/crates/jujubebeam/tests/gateway_soak/fleet.rs
@@ -136,6 +136,18 @@
         self.version.fetch_add(1, Ordering::SeqCst) + 1
     }
 
+    /// Copies the logs of the vms, under a name, to the folder `JUJUBEBEAM_SOAK_LOGS`, if it is set.
+    pub(crate) fn keep_logs(&self, name: &str) {
+        let Ok(folder) = std::env::var("JUJUBEBEAM_SOAK_LOGS") else {
+            return;
+        };
+        for (number, vm) in self.vms.iter().enumerate() {
+            let vm = vm.lock().expect("no test panicked");
+            let copy = format!("{folder}/{name}-vm{number}.log");
+            std::fs::copy(&vm.log, copy).expect("the log can be copied");
+        }
+    }
+
     /// How often servers ran each request.
     pub(crate) fn runs(&self) -> HashMap<String, u32> {
         let mut runs = HashMap::new();
@@ -193,11 +205,6 @@
         }
     }
 
-    /// File that the vm logs to.
-    pub(crate) fn log(&self) -> &str {
-        &self.log
-    }
-
     /// File with the id of the running process.
     pub(crate) fn process_file(&self) -> String {
         format!("{}.pid", self.file)
--- a/crates/jujubebeam/tests/gateway_soak/main.rs
+++ b/crates/jujubebeam/tests/gateway_soak/main.rs
@@ -3,16 +3,20 @@
 //! `JUJUBEBEAM_SOAK_SEEDS=1..50 JUJUBEBEAM_SOAK_SECONDS=10` plays other seeds for longer. Faults of
 //! the clock are not part of it: a process reads the clock of the machine, which all share. Planned
 //! work is also played with more vms (`JUJUBEBEAM_SOAK_VMS=20`), with vms that run for 20 of each 100 ms
-//! (`JUJUBEBEAM_SOAK_QUOTA_MS=20..80`) or that stop more slowly (`JUJUBEBEAM_SOAK_LIFETIME_MS=2000`), and keeps the logs of failed seeds in `JUJUBEBEAM_SOAK_LOGS`.
+//! (`JUJUBEBEAM_SOAK_QUOTA_MS=20..80`) or that stop more slowly (`JUJUBEBEAM_SOAK_LIFETIME_MS=2000`). Logs of failed
+//! seeds of planned work and of silent targets are kept in `JUJUBEBEAM_SOAK_LOGS`.
 
 mod callers;
 mod faults;
 mod fleet;
+mod gap_reader;
 mod limits;
 mod planned_stop;
 mod planned_work;
+mod silent_targets;
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
+mod target_process;
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -34,6 +38,8 @@
 /// Duration and vms of a play with planned work.
 const PLANNED_DURATION: Duration = Duration::from_secs(2);
 const PLANNED_VMS: usize = 4;
+/// Duration of a play with silent targets, in which a vm takes several seconds to stop.
+const SILENT_DURATION: Duration = Duration::from_secs(8);
 const CALLERS: usize = 8;
 /// Callers of the vm that is told to stop.
 const STOP_CALLERS: usize = 12;
@@ -155,6 +161,22 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Guards against answers that are cut sooner than their callers would leave, because a target is
+/// silent for a while, beside changes of settings, reloads and rolling restarts of vms.
+#[test]
+fn no_answer_is_cut_while_targets_are_silent() {
+    let seconds = std::env::var("JUJUBEBEAM_SOAK_SECONDS").ok();
+    let duration = seconds
+        .and_then(|text| text.parse().ok())
+        .map_or(SILENT_DURATION, Duration::from_secs);
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        let found = silent_targets::play(seed, duration);
+        broken.extend(found.into_iter().map(|text| format!("seed {seed}: {text}")));
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 /// Guards against a stream that is passed on and then cut, long before the end of the grace period,
 /// because it arrives on a kept connection while the vm closes its listener.
 #[test]
--- a/crates/jujubebeam/tests/gateway_soak/planned_work.rs
+++ b/crates/jujubebeam/tests/gateway_soak/planned_work.rs
@@ -19,10 +19,10 @@
     Answer, Call, Seen, Server, Step, Store, answer, answer_with, config, end_of_events, events,
 };
 
-const GRACE: Duration = Duration::from_secs(8);
+pub(crate) const GRACE: Duration = Duration::from_secs(8);
 const LONGEST_ANSWER: Duration = Duration::from_millis(3900);
 /// Time after the last byte of a request after which its connection may not end unanswered.
-const LOSS_SLACK: Duration = Duration::from_millis(200);
+pub(crate) const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// Time after a start or a stop for which a vm's late sends are excused.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time within which callers notice that a target has ended.
@@ -117,12 +117,8 @@
         play.latest_arrival.lock().expect("no test panicked"),
         finds.len()
     );
-    if let (false, Ok(folder)) = (finds.is_empty(), std::env::var("JUJUBEBEAM_SOAK_LOGS")) {
-        for (number, vm) in play.fleet.vms.iter().enumerate() {
-            let vm = vm.lock().expect("no test panicked");
-            let copy = format!("{folder}/seed-{seed}-vm{number}.log");
-            std::fs::copy(vm.log(), copy).expect("the log can be copied");
-        }
+    if !finds.is_empty() {
+        play.fleet.keep_logs(&format!("seed-{seed}"));
     }
     finds
 }
@@ -174,7 +170,7 @@
 }
 
 /// A number that depends on the id of a request alone.
-fn draw(id: &str) -> u64 {
+pub(crate) fn draw(id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     id.hash(&mut hasher);
     hasher.finish()
@@ -214,12 +210,12 @@
     steps
 }
 
-fn is_for(own: &str, seen: &Seen) -> bool {
+pub(crate) fn is_for(own: &str, seen: &Seen) -> bool {
     seen.header("x-target-instance").is_none_or(|id| id == own)
 }
 
 /// Settings that differ from the version before in services, time-outs and an additional key.
-fn settings(version: u64) -> String {
+pub(crate) fn settings(version: u64) -> String {
     let plain = r#""service":"plain""#;
     let (from, to) = match version % 2 {
         0 => (plain, r#""service":"spare""#),
