--- a/crates/gateway/src/stream/hedge.rs
+++ b/crates/gateway/src/stream/hedge.rs
@@ -32,7 +32,7 @@
 enum Winner {
     Silent(Bytes),
     SilentEnd,
-    Other(Source, Bytes),
+    Other(Box<Source>, Bytes),
     Neither { cause: String },
 }
 
@@ -79,7 +79,7 @@
                         }
                     },
                     found = &mut other, if failed.is_none() => match found {
-                        Ok((source, events)) => break Winner::Other(source, events),
+                        Ok((source, events)) => break Winner::Other(Box::new(source), events),
                         Err(cause) if broken.is_none() => break Winner::Neither { cause },
                         Err(cause) => failed = Some(cause),
                     },
@@ -130,7 +130,7 @@
                 broken.unwrap_or_else(|| format!("no event for {} ms", millis(silent_for)));
             self.progress.ended(end);
             record_failed_attempt(&context.shared, &job, &target, end, &reason);
-            self.source = Some(source);
+            self.source = Some(*source);
             comments.extend_from_slice(&events);
             return Hedged::Events(comments.freeze());
         }
