Ask a target again that refused to continue a stream while its target was silent

Callers saw a stream cut when its target broke off, though another one was ready to continue it: the target that had refused, or the backup that had not been ready, during an earlier silence stayed excluded for the rest of the stream.

If the silent target goes on, the targets asked meanwhile may be asked again, and a backup is kept unless its engine may have begun to continue the run. A target that refused has its part of the route's attempts, as one that refused before the stream. No other target is asked once the caller's gap is over, as after a suspension of the vm, and the wait for one after a break counts from the same moment as the silence, so that a caller that did not read is not cut at once. Log lines after a hedge name the target that sends the stream. The last two have no test of their own.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -211,6 +211,8 @@
     hedge_after: Option<Duration>,
     /// Target that was asked to continue the stream and has not answered yet.
     asked: Option<String>,
+    /// Whether the engine with the backup may have begun to continue the run.
+    has_sent_to_backup: bool,
     /// When something was last forwarded to the caller.
     last_sent_at: Instant,
     is_done: bool,
@@ -265,6 +267,7 @@
         silent_since: Instant::now(),
         hedge_after,
         asked: None,
+        has_sent_to_backup: false,
         last_sent_at: Instant::now(),
         is_done: false,
         _running: context.track_running(),
@@ -429,7 +432,7 @@
             self.switch_source(source);
             return Ok(());
         }
-        let until = (self.last_event_at + self.abandon_after()).min(self.job.expires_at);
+        let until = (self.silent_since + self.abandon_after()).min(self.job.expires_at);
         loop {
             let step = self.progress.ended(end);
             if Instant::now() >= self.job.expires_at {
@@ -461,6 +464,9 @@
         };
         record_failed_attempt(&self.context.shared, &self.job, &target, end, &reason);
         self.excluded.push(key);
+        if end == AttemptEnd::NotRun {
+            self.refused.push(key);
+        }
         Err(end)
     }
 
@@ -505,12 +511,12 @@
         if crashes::refusal(&self.context, &self.job).is_some() {
             return Err("the request crashes targets".into());
         }
-        let Self {
-            refused, excluded, ..
-        } = self;
-        refused.retain(|key| !excluded.contains(key));
+        let refused: SmallVec<[TargetKey; 4]> = {
+            let refused = self.refused.iter().copied();
+            refused.filter(|key| !self.excluded.contains(key)).collect()
+        };
         let is_used_up = matches!(step, NextStep::Answer(_));
-        let returns = is_used_up && !self.refused.is_empty() && self.progress.may_repeat(end);
+        let returns = is_used_up && !refused.is_empty() && self.progress.may_repeat(end);
         let step = match returns {
             true => NextStep::Retry { uses_budget: true },
             false => step,
@@ -520,7 +526,7 @@
         }
         loop {
             let excluded = match returns {
-                true => forward::all_targets_except(&self.context.shared, &self.refused),
+                true => forward::all_targets_except(&self.context.shared, &refused),
                 false => self.excluded.clone(),
             };
             match forward::place_continuation(&self.context, &self.job, &excluded).await {
@@ -546,6 +552,7 @@
         let in_flight = backup::place(&self.context, &self.job, backup).await?;
         let target = in_flight.placement.target.id.clone();
         self.asked = Some(target.clone());
+        self.has_sent_to_backup = true;
         let work = Work::Continue {
             address: &backup.address,
             run: &self.job.incoming.attempt_id,
@@ -555,6 +562,7 @@
             Ok(source) => Some(source),
             Err((end, reason)) => {
                 self.asked = None;
+                self.has_sent_to_backup = false;
                 record_failed_attempt(&shared, &self.job, &target, end, &reason);
                 None
             }
--- a/crates/gateway/src/stream/hedge.rs
+++ b/crates/gateway/src/stream/hedge.rs
@@ -43,9 +43,17 @@
         let Some(mut silent) = self.source.take() else {
             return Hedged::Broken("no target continues the stream".into());
         };
+        // After a suspension of the vm, the gap may be over before another target can be asked.
+        if Instant::now() >= until {
+            self.hedge_after = None;
+            self.source = Some(silent);
+            return Hedged::Silent(comments);
+        }
         let (context, job) = (self.context.clone(), self.job.clone());
+        let excluded_before = self.excluded.len();
         let silent_for = self.last_event_at.elapsed();
-        let backup = silent.in_flight.backup.take();
+        let backup = silent.in_flight.backup.clone();
+        self.has_sent_to_backup = false;
         let (key, target) = {
             let placement = &silent.in_flight.placement;
             (placement.key, placement.target.id.clone())
@@ -134,9 +142,17 @@
             comments.extend_from_slice(&events);
             return Hedged::Events(comments.freeze());
         }
-        // The silent target is the only one, so it must not be excluded from what follows.
-        self.excluded.retain(|excluded| *excluded != key);
-        // It goes on without another attempt until it has sent events.
+        // If the silent target breaks the stream off later, the others may be asked again. The copy
+        // that a backup keeps can be used once.
+        match broken {
+            Some(_) => self.excluded.retain(|excluded| *excluded != key),
+            None => self.excluded.truncate(excluded_before),
+        }
+        if self.has_sent_to_backup {
+            silent.in_flight.backup = None;
+        }
+        job.current_target.replace(target);
+        // No other target is asked until the silent one has sent events.
         self.hedge_after = None;
         self.source = Some(silent);
         match (winner, broken) {
