Count connections to a target as open only until opening them is cancelled

Callers were refused although a target was sound: a connection that was being opened when its request was cancelled counted as open for good, and at the limit of the target's connections no further request was sent to it ("N connections are open"). Found by review.

The count is held by a guard that exists before the connection is opened.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -69,16 +69,27 @@
     is_reusable: bool,
     idle_since: Instant,
     idle_limit: Duration,
-    open: Rc<OpenCount>,
+    _open: OpenGuard,
 }
 
 /// Number of open connections to one target.
 #[derive(Debug, Default)]
 struct OpenCount(std::cell::Cell<usize>);
 
-impl Drop for TargetConnection {
+/// Counts a connection as open until it is dropped, also if opening it is cancelled.
+#[derive(Debug)]
+struct OpenGuard(Rc<OpenCount>);
+
+impl OpenGuard {
+    fn new(open: &Rc<OpenCount>) -> Self {
+        open.0.set(open.0.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.open.0.set(self.open.0.get().saturating_sub(1));
+        self.0.0.set(self.0.0.get().saturating_sub(1));
     }
 }
 
@@ -134,14 +145,12 @@
             if pool.open.0.get() >= limit {
                 return Err(SendError::NotSent(format!("{limit} connections are open")));
             }
-            pool.open.0.set(pool.open.0.get() + 1);
-            pool.open.clone()
+            OpenGuard::new(&pool.open)
         };
         let opened = timeout(CONNECT_TIMEOUT, open_connection(address)).await;
         let sender = match opened {
             Ok(Ok(sender)) => sender,
             failed => {
-                open.0.set(open.0.get().saturating_sub(1));
                 let reason = match failed {
                     Ok(Err(reason)) => reason,
                     _ => "the connection was not established in time".to_owned(),
@@ -157,7 +166,7 @@
             is_reusable: true,
             idle_since: Instant::now(),
             idle_limit: DEFAULT_IDLE_TIMEOUT,
-            open,
+            _open: open,
         })
     }
 
