Bound the comments that are collected while another target is asked

A faulty target that sends comments without end while another one is asked to continue its stream filled the memory of the vm: 47 MB in 0.8 s at 64 KB a millisecond, for one stream. The fault came with the hedges of silent streams.

At 64 KiB of comments the silent target is not read further until the other one is decided, so its sends wait for the vm.

endless_comments_are_not_collected_while_another_target_is_asked failed before (47,063,464 bytes, 24,000,000 allowed).

--- a/crates/gateway/src/stream/hedge.rs
+++ b/crates/gateway/src/stream/hedge.rs
@@ -16,6 +16,10 @@
 use crate::decision_log::{DecisionKind, decision, millis};
 use crate::request_log::record_failed_attempt;
 
+/// Size of collected comments at which the silent target is not read further until the other one is
+/// decided. Targets send one small comment at a time to keep a connection alive.
+const MAX_COMMENT_BYTES: usize = 64 * 1024;
+
 /// How a stream goes on after its target was silent. The relay has the source that is kept.
 pub(super) enum Hedged {
     /// The silent target or another one has sent events.
@@ -72,7 +76,7 @@
                 }
                 tokio::select! {
                     biased;
-                    item = silent.next(), if broken.is_none() => match item {
+                    item = silent.next(), if broken.is_none() && comments.len() < MAX_COMMENT_BYTES => match item {
                         StreamItem::Events(events) => break Winner::Silent(events),
                         StreamItem::End => break Winner::SilentEnd,
                         StreamItem::Comment(text) => comments.extend_from_slice(&text),
