Keep the targets of the soak alive whatever started it, and begin it with its own settings

The kernel sends SIGHUP to a process group with stopped processes whose last parent outside of it ends. Targets have groups of their own now.

The checks are unchanged.

--- a/crates/jujubebeam/tests/gateway_soak/silent_targets.rs
+++ b/crates/jujubebeam/tests/gateway_soak/silent_targets.rs
@@ -23,6 +23,8 @@
 
 const VMS: usize = 4;
 const CALLERS: usize = 32;
+/// Time within which changed settings are in force at all vms.
+const SETTINGS_BOUND: Duration = Duration::from_secs(2);
 /// Services with the number of their targets.
 const SERVICES: [(&str, usize); 3] = [("plain", 2), ("spare", 2), ("engines,decode", 6)];
 const MAX_SILENT: usize = 3;
@@ -164,6 +166,8 @@
             finds: Mutex::default(),
         };
         play.change_settings();
+        // The first settings of the vms have time-outs below the deadlines.
+        std::thread::sleep(SETTINGS_BOUND);
         play
     }
 
--- a/crates/jujubebeam/tests/gateway_soak/target_process.rs
+++ b/crates/jujubebeam/tests/gateway_soak/target_process.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read};
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -44,6 +45,8 @@
         let mut child = Command::new(own)
             .args(["--exact", "target_process::serve_until_input_ends"])
             .arg("--nocapture")
+            // The kernel ends stopped processes of a group whose last parent outside of it has ended.
+            .process_group(0)
             .env(TARGET_VARIABLE, format!("{id} {service}"))
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
