Bound the time for which two targets work on a silent stream

Cause: hedge() waited for the first event of either target without a bound, up to the end of the caller's gap. Beside it, a silent target that sent something invalid stayed connected until the other one was decided.

Ruled out: late closes (both runs end within 3 ms of the caller's close) and a second continuation of one request.

Fix: another target is asked for 250 ms, counted from before its connection is opened, and then left, as a sound target may be silent for longer. Once the silent one has ended its stream, the other one is the only one and has the whole gap.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -41,7 +41,7 @@
 pub use outcome::{AttemptEnd, FinalAnswer, NextStep, Repeatability, RequestProgress};
 pub use packed::PackedValue;
 pub use part_crashes::{PartCrashConfig, PartCrashes, PartFingerprints, RefusedPart};
-pub use pauses::{PauseLimits, abandon_timeout, caller_idle_timeout, resume_timeout};
+pub use pauses::{MAX_OVERLAP, PauseLimits, abandon_timeout, caller_idle_timeout, resume_timeout};
 pub use peer_selection::PeerSelector;
 pub use permits::{PermitConfig, PermitDemand, PermitQuery, PermitReply, Permits};
 pub use placement::{
--- a/crates/core/src/gateway/outcome.rs
+++ b/crates/core/src/gateway/outcome.rs
@@ -28,7 +28,7 @@
     Broken,
     /// Part of the answer was delivered before it broke off.
     BrokenMidway,
-    /// Another target delivered the next part of the answer first.
+    /// The target was left for another one that had the request as well.
     Superseded,
 }
 
--- a/crates/core/src/gateway/pauses.rs
+++ b/crates/core/src/gateway/pauses.rs
@@ -38,6 +38,11 @@
 /// gap from the arrival of the last event.
 const CALLER_CLOCK_MARGIN: Duration = Duration::from_millis(250);
 
+/// Longest time for which another target is asked to continue a stream while the silent one may
+/// still work on it. The users' platform tolerates 400 ms at both (see `docs/platform.md`); what is
+/// left of them is for late timers of a busy vm, and for the arrival of the request and of the close.
+pub const MAX_OVERLAP: Duration = Duration::from_millis(250);
+
 /// Time without an event after which a stream of this route is abandoned.
 pub fn abandon_timeout(route: &HostRoute, limits: PauseLimits) -> Duration {
     caller_idle_timeout(route, limits) + CALLER_CLOCK_MARGIN
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -46,16 +46,22 @@
     source: Source,
 }
 
-/// The connection to the target that sends a stream.
+/// The target that sends a stream.
 struct Source {
-    body: Incoming,
-    connection: TargetConnection,
+    /// Its connection, until it is closed.
+    open: Option<OpenSource>,
     in_flight: InFlight,
     splitter: EventSplitter,
     /// Whether the end of the body is part of the message.
     has_announced_end: bool,
 }
 
+/// The connection on which a stream arrives.
+struct OpenSource {
+    body: Incoming,
+    connection: TargetConnection,
+}
+
 /// Whether an answer is an event stream.
 pub(crate) fn is_event_stream(response: &Response<Incoming>) -> bool {
     let content_type = response.headers().get(header::CONTENT_TYPE);
@@ -79,8 +85,7 @@
     let (parts, body) = response.into_parts();
     let mut source = Source {
         has_announced_end: crashes::has_announced_end(&parts.headers),
-        body,
-        connection,
+        open: Some(OpenSource { body, connection }),
         in_flight,
         splitter: EventSplitter::default(),
     };
@@ -146,7 +151,10 @@
                 Ok(None) => {}
                 Err(error) => return StreamItem::Invalid(error),
             }
-            match self.body.frame().await {
+            let Some(open) = &mut self.open else {
+                return StreamItem::Broken("the connection is closed".into());
+            };
+            match open.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
@@ -158,6 +166,11 @@
         }
     }
 
+    /// Closes the connection, so that the target stops its work.
+    fn close(&mut self) {
+        self.open = None;
+    }
+
     /// What the end of the body means.
     fn end(&self) -> StreamItem {
         match self.splitter.finish() {
@@ -394,7 +407,9 @@
         self.is_done = true;
         if let Some(source) = self.source.take() {
             let key = source.in_flight.placement.key;
-            self.context.pool.release(key, source.connection);
+            if let Some(open) = source.open {
+                self.context.pool.release(key, open.connection);
+            }
             let (status, has_announced_end) = (StatusCode::OK, source.has_announced_end);
             let placement = &source.in_flight.placement;
             crashes::report_success(
@@ -490,8 +505,10 @@
         }
         Ok(Source {
             has_announced_end: crashes::has_announced_end(response.headers()),
-            body: response.into_body(),
-            connection,
+            open: Some(OpenSource {
+                body: response.into_body(),
+                connection,
+            }),
             in_flight,
             splitter: EventSplitter::after(self.position),
         })
--- a/crates/gateway/src/stream/hedge.rs
+++ b/crates/gateway/src/stream/hedge.rs
@@ -2,13 +2,15 @@
 //!
 //! A target that is silent for a while may be sound. It is therefore only left once another target
 //! has sent the next events, as with the hedged requests of Dean and Barroso ("The Tail at Scale",
-//! CACM 56, 2013). See `docs/incidents/silent-targets.md`.
+//! CACM 56, 2013). See `docs/incidents/silent-targets.md`. Both may work on the request meanwhile,
+//! so the other one is left if it sends none in time. See `docs/incidents/overlapping-runs.md`.
 
+use std::cell::Cell;
 use std::pin::pin;
 
 use bytes::{Bytes, BytesMut};
-use jujubebeam_core::gateway::AttemptEnd;
-use tokio::time::{Instant, sleep_until};
+use jujubebeam_core::gateway::{AttemptEnd, MAX_OVERLAP};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::{Source, StreamItem, StreamRelay};
 use crate::adapters::Adapters;
@@ -65,8 +67,9 @@
         self.excluded.push(key);
         let mut comments = BytesMut::from(comments);
         let mut broken = None;
+        let is_connected = Cell::new(true);
         let winner = {
-            let mut other = pin!(self.ask_others(backup, until));
+            let mut other = pin!(self.ask_others(backup, &is_connected, until));
             let mut failed = None;
             loop {
                 if let (Some(cause), Some(_)) = (&failed, &broken) {
@@ -83,10 +86,14 @@
                         StreamItem::Stalled => {}
                         StreamItem::Broken(reason) => {
                             silent.record_break(&context, &job);
+                            silent.close();
+                            is_connected.set(false);
                             broken = Some(reason);
                         }
                         StreamItem::Invalid(error) => {
                             silent.record_failure(&context);
+                            silent.close();
+                            is_connected.set(false);
                             broken = Some(error.to_string());
                         }
                     },
@@ -101,18 +108,12 @@
                 }
             }
         };
-        if let Some(asked) = self.asked.take()
-            && !matches!(winner, Winner::Other(..))
-        {
+        if matches!(winner, Winner::Other(..)) {
+            self.asked = None;
+        }
+        if self.asked.is_some() {
             self.progress.ended(AttemptEnd::Superseded);
-            let reason = "the silent target went on first, or no event came in time";
-            record_failed_attempt(
-                &context.shared,
-                &job,
-                &asked,
-                AttemptEnd::Superseded,
-                reason,
-            );
+            self.leave_asked("the silent target went on first, or no event came in time");
         }
         let (outcome, cause) = match &winner {
             Winner::Silent(_) | Winner::SilentEnd => ("went_on", None),
@@ -171,37 +172,61 @@
     }
 
     /// Asks the engine that keeps the backup, or else other targets one after the other, until one
-    /// has sent the next events.
+    /// has sent the next events. `is_connected` states whether the silent target may still go on.
     async fn ask_others(
         &mut self,
         backup: Option<Backup>,
+        is_connected: &Cell<bool>,
         until: Instant,
     ) -> Result<(Source, Bytes), String> {
-        if let Some(backup) = backup
-            && let Some(source) = self.continue_from_backup(&backup).await
-            && let Ok(found) = self.first_events(source).await
-        {
-            return Ok(found);
+        if let Some(backup) = backup {
+            let attempt = async {
+                let source = self.continue_from_backup(&backup).await?;
+                self.first_events(source).await.ok()
+            };
+            match within_overlap(attempt, is_connected).await {
+                Some(Some(found)) => return Ok(found),
+                Some(None) => {}
+                None => {
+                    self.progress.ended(AttemptEnd::Superseded);
+                    self.leave_asked("no event came in time while the silent target was connected");
+                }
+            }
         }
         let mut last = None;
         loop {
             let step = self.progress.next_beside_running(last);
             let end = last.unwrap_or(AttemptEnd::BrokenMidway);
             let (in_flight, last_id) = self.choose_next(step, end, until).await?;
+            let key = in_flight.placement.key;
             self.asked = Some(in_flight.placement.target.id.clone());
-            let opened = self.continue_at(in_flight, last_id).await;
-            let end = match opened {
-                Ok(source) => match self.first_events(source).await {
-                    Ok(found) => return Ok(found),
-                    Err(end) => end,
-                },
-                Err(end) => end,
+            let attempt = async {
+                let source = self.continue_at(in_flight, last_id).await?;
+                self.first_events(source).await
+            };
+            let end = match within_overlap(attempt, is_connected).await {
+                Some(Ok(found)) => return Ok(found),
+                Some(Err(end)) => end,
+                None => {
+                    self.excluded.push(key);
+                    self.leave_asked("no event came in time while the silent target was connected");
+                    AttemptEnd::Superseded
+                }
             };
             self.asked = None;
             last = Some(end);
         }
     }
 
+    /// Records that the target that was asked to continue the stream is left for the silent one.
+    fn leave_asked(&mut self, reason: &str) {
+        let Some(asked) = self.asked.take() else {
+            return;
+        };
+        let (shared, end) = (&self.context.shared, AttemptEnd::Superseded);
+        record_failed_attempt(shared, &self.job, &asked, end, reason);
+    }
+
     /// Waits for the first events of a continuation.
     async fn first_events(&mut self, mut source: Source) -> Result<(Source, Bytes), AttemptEnd> {
         let (context, job) = (self.context.clone(), self.job.clone());
@@ -229,3 +254,17 @@
         Err(end)
     }
 }
+
+/// Waits for an attempt beside a silent target for [`MAX_OVERLAP`], or as long as it takes once that
+/// target has ended its stream. Returns `None` if the attempt was left.
+async fn within_overlap<T>(
+    attempt: impl Future<Output = T>,
+    is_connected: &Cell<bool>,
+) -> Option<T> {
+    let mut attempt = pin!(attempt);
+    match timeout(MAX_OVERLAP, attempt.as_mut()).await {
+        Ok(found) => Some(found),
+        Err(_) if is_connected.get() => None,
+        Err(_) => Some(attempt.await),
+    }
+}
