Tell requests that crash targets apart by query, method and prompt

Cause: the fingerprint left out the query, the method and the prompt, so a complete answer to a sound request with another query cleared the count at all vms. The other way round, three crashes of one read refused all reads of that path and tenant for 600 s.

Ruled out: lost messages between vms (counted and cleared alike at all) and unnoticed crashes (each has a `counted` line).

Fix: RequestIdentity says what identifies a request, and what it has in common with others. As its query may change when it is repeated, the first crash of each request also counts against its path, tenant and body, in the way of prompt parts: with a spacing, cleared by any answer, and with a trial. `jujubebeam run` left out the method and the workspace.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -71,23 +71,28 @@
 impl Fingerprint {
     /// Hashes the route and the body that a target would execute.
     pub fn new(route: RouteId, body: &[u8]) -> Self {
-        let digest = Sha256::new()
-            .chain_update(route.0.to_be_bytes())
-            .chain_update(body)
-            .finalize();
-        let mut short = [0; 16];
-        short.copy_from_slice(&digest[..16]);
-        Self(short)
+        let digest = Sha256::new().chain_update(route.0.to_be_bytes());
+        Self::shortened(digest.chain_update(body))
     }
 
     /// Hashes a prompt part for a model, under which it may crash targets whatever the request.
     pub fn of_prompt_part(model: &str, part: u64) -> Self {
-        let digest = Sha256::new()
-            .chain_update(part.to_be_bytes())
-            .chain_update(model)
-            .finalize();
+        let digest = Sha256::new().chain_update(part.to_be_bytes());
+        Self::shortened(digest.chain_update(model))
+    }
+
+    /// Hashes fields whose boundaries matter.
+    pub fn of_fields(fields: &[&[u8]]) -> Self {
+        let digest = fields.iter().fold(Sha256::new(), |digest, field| {
+            let length = (field.len() as u64).to_be_bytes();
+            digest.chain_update(length).chain_update(field)
+        });
+        Self::shortened(digest)
+    }
+
+    fn shortened(digest: Sha256) -> Self {
         let mut short = [0; 16];
-        short.copy_from_slice(&digest[..16]);
+        short.copy_from_slice(&digest.finalize()[..16]);
         Self(short)
     }
 
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,4 +1,4 @@
-//! Requests and prompt parts that crash targets: counts, refusals, and the exchange with other vms.
+//! Requests, and common parts of requests, that crash targets: counts, refusals, and the exchange with other vms.
 //! See [`jujubebeam_core::quarantine`] and [`jujubebeam_core::gateway::PartCrashes`].
 
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::header;
-use jujubebeam_core::gateway::{Placement, owner_of};
+use jujubebeam_core::gateway::{Placement, owner_of, shared_parts};
 use jujubebeam_core::quarantine::{
     Fingerprint, QuarantineCommand, QuarantineEvent, QuarantineMessage, Verdict,
 };
@@ -35,7 +35,9 @@
 /// until each send.
 pub(crate) fn refusal<A: Adapters>(context: &Context<A>, job: &Job) -> Option<Refusal> {
     let (shared, now) = (&context.shared, context.shared.now());
-    if let Verdict::Refuse { retry_after } = shared.quarantine().verdict(job.fingerprint, now) {
+    if let Verdict::Refuse { retry_after } =
+        shared.quarantine().verdict(job.identity.request(), now)
+    {
         return Some(Refusal::not_run(Reason::CrashesTargets, retry_after));
     }
     if job.is_trial.get() {
@@ -43,7 +45,7 @@
     }
     let refused = {
         let mut part_crashes = shared.part_crashes();
-        let refused = part_crashes.refused_part(&job.part_fingerprints, now)?;
+        let refused = part_crashes.refused_part(job.identity.common(), now)?;
         let is_trial = is_trial_owner(shared, refused.fingerprint)
             && part_crashes.take_trial(refused.fingerprint, now);
         job.is_trial.set(is_trial);
@@ -68,12 +70,18 @@
     owner_of(&name, &vms) == Some(shared.vm)
 }
 
-/// Id of the part with this fingerprint, as in the request.
+/// Id of the prompt part with this fingerprint, as in the request, or `resource`.
 fn part_name(job: &Job, refused: Fingerprint) -> String {
-    let parts = job.incoming.prompt_parts.iter().zip(&job.part_fingerprints);
-    let mut named = parts.filter(|(_, fingerprint)| **fingerprint == refused);
-    let part = named.next();
-    part.map_or_else(String::new, |(part, _)| format!("{:x}", part.id))
+    let mut named = named_parts(job).filter(|(_, fingerprint)| *fingerprint == refused);
+    named.next().map_or_else(String::new, |(name, _)| name)
+}
+
+/// What other requests may have in common with a request, with names for the log.
+fn named_parts(job: &Job) -> impl Iterator<Item = (String, Fingerprint)> {
+    let parts = shared_parts(&job.incoming.prompt_parts).iter();
+    let names = parts.map(|part| format!("{:x}", part.id));
+    let names = names.chain(std::iter::once("resource".to_owned()));
+    names.zip(job.identity.common().iter().copied())
 }
 
 /// Reports that a connection broke while the target had the request. If the target crashed, the
@@ -82,15 +90,16 @@
     let mut hasher = DefaultHasher::new();
     (&placement.target.id, placement.target.born_ms).hash(&mut hasher);
     let target = TargetId(hasher.finish());
+    let (shared, now) = (&context.shared, context.shared.now());
+    let fingerprint = job.identity.request();
+    let has_crashed_before = shared.quarantine().crashed_targets(fingerprint, now) > 0;
     let event = QuarantineEvent::Crashed {
-        fingerprint: job.fingerprint,
+        fingerprint,
         target,
     };
     feed_quarantine(context, event);
-    let (shared, now) = (&context.shared, context.shared.now());
-    let messages = shared
-        .part_crashes()
-        .crashed(&job.part_fingerprints, target, now);
+    let blamed = job.identity.blamed(has_crashed_before);
+    let messages = shared.part_crashes().crashed(blamed, target, now);
     broadcast(context, messages);
     log_counts(shared, job, &placement.target.id, "counted");
 }
@@ -105,19 +114,19 @@
     has_announced_end: bool,
 ) {
     let (shared, now) = (&context.shared, context.shared.now());
-    let fingerprint = job.fingerprint;
+    let fingerprint = job.identity.request();
     let is_suspect = shared.quarantine().verdict(fingerprint, now) != Verdict::Clear;
     if is_suspect {
         feed_quarantine(context, QuarantineEvent::Completed { fingerprint });
     }
-    if job.part_fingerprints.is_empty() || !status.is_success() {
+    if job.identity.common().is_empty() || !status.is_success() {
         return;
     }
     if has_announced_end {
         clear_parts(context, job, is_suspect);
     } else if shared
         .part_crashes()
-        .is_any_suspect(&job.part_fingerprints, now)
+        .is_any_suspect(job.identity.common(), now)
     {
         let (context, job) = (context.clone(), job.clone());
         let address = placement.target.address.clone();
@@ -140,7 +149,7 @@
 /// Clears the parts of a request at all vms.
 fn clear_parts<A: Adapters>(context: &Context<A>, job: &Job, is_suspect: bool) {
     let (shared, now) = (&context.shared, context.shared.now());
-    let messages = shared.part_crashes().completed(&job.part_fingerprints, now);
+    let messages = shared.part_crashes().completed(job.identity.common(), now);
     let is_cleared = !messages.is_empty();
     broadcast(context, messages);
     if is_suspect || is_cleared {
@@ -172,13 +181,14 @@
 /// Logs how many targets count against a request and its parts after a crash or a complete answer.
 fn log_counts(shared: &Shared, job: &Job, target: &str, outcome: &'static str) {
     let now = shared.now();
-    let crashed_targets = shared.quarantine().crashed_targets(job.fingerprint, now);
+    let crashed_targets = shared
+        .quarantine()
+        .crashed_targets(job.identity.request(), now);
     let parts: Vec<_> = {
         let part_crashes = shared.part_crashes();
-        let parts = job.incoming.prompt_parts.iter().zip(&job.part_fingerprints);
-        let counts = parts.map(|(part, fingerprint)| {
-            let crashed = part_crashes.crashed_targets(*fingerprint, now);
-            format!("{:x}={crashed}", part.id)
+        let counts = named_parts(job).map(|(name, fingerprint)| {
+            let crashed = part_crashes.crashed_targets(fingerprint, now);
+            format!("{name}={crashed}")
         });
         counts.collect()
     };
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -9,12 +9,10 @@
 use bytes::{Bytes, BytesMut};
 use http::{Request, header};
 use http_body_util::Full;
-use jujubebeam_core::RouteId;
 use jujubebeam_core::gateway::{
-    EngineLimits, GatewaySettings, HostRoute, PartFingerprints, Placement, PlacementRequest,
-    PromptPart, Repeatability, RequestKind, Stage, TargetKey, shared_parts,
+    EngineLimits, GatewaySettings, HostRoute, IdentifyingFields, Placement, PlacementRequest,
+    PromptPart, Repeatability, RequestIdentity, RequestKind, Stage, TargetKey,
 };
-use jujubebeam_core::quarantine::Fingerprint;
 use ntex::http::StatusCode;
 use ntex::io::{IoRef, OnDisconnect};
 use ntex::web::HttpRequest;
@@ -57,9 +55,8 @@
     host: String,
     headers: http::HeaderMap,
     body: Bytes,
-    pub(crate) fingerprint: Fingerprint,
-    /// Fingerprints of the prompt parts that other requests may share.
-    pub(crate) part_fingerprints: PartFingerprints,
+    /// What crashes of targets count against.
+    pub(crate) identity: RequestIdentity,
     /// Whether the request tests if a refused part still crashes targets.
     pub(crate) is_trial: Cell<bool>,
     /// Whether the caller knows bodies in chunks, which HTTP/1.0 does not have.
@@ -162,8 +159,7 @@
         .and_then(|p| p.as_str().parse().ok())
         .unwrap_or_default();
     Ok(Job {
-        fingerprint: fingerprint(&uri, tenant.as_deref(), &body),
-        part_fingerprints: part_fingerprints(&incoming),
+        identity: identity(request, &incoming, tenant.as_deref(), &body),
         is_trial: Cell::new(false),
         headers: forwarded_headers::<A>(request),
         method: request
@@ -224,22 +220,21 @@
     Ok(body.freeze())
 }
 
-fn fingerprint(uri: &http::Uri, tenant: Option<&str>, body: &[u8]) -> Fingerprint {
-    let mut text = Vec::with_capacity(body.len() + 64);
-    text.extend_from_slice(uri.path().as_bytes());
-    text.push(0);
-    text.extend_from_slice(tenant.unwrap_or_default().as_bytes());
-    text.push(0);
-    text.extend_from_slice(body);
-    Fingerprint::new(RouteId(0), &text)
-}
-
-fn part_fingerprints(incoming: &Incoming) -> PartFingerprints {
-    let model = incoming.model.as_deref().unwrap_or_default();
-    let parts = shared_parts(&incoming.prompt_parts).iter();
-    parts
-        .map(|part| Fingerprint::of_prompt_part(model, part.id))
-        .collect()
+fn identity(
+    request: &HttpRequest,
+    incoming: &Incoming,
+    tenant: Option<&str>,
+    body: &[u8],
+) -> RequestIdentity {
+    RequestIdentity::new(&IdentifyingFields {
+        method: request.method().as_str(),
+        path: request.uri().path(),
+        query: request.uri().query(),
+        tenant,
+        model: incoming.model.as_deref(),
+        prompt_parts: &incoming.prompt_parts,
+        body,
+    })
 }
 
 fn forwarded_headers<A: Adapters>(request: &HttpRequest) -> http::HeaderMap {
--- a/crates/jujubebeam/src/caller/service.rs
+++ b/crates/jujubebeam/src/caller/service.rs
@@ -47,10 +47,15 @@
 
 impl Job {
     fn fingerprint(&self) -> Fingerprint {
-        let mut bytes = self.path_and_query.clone().into_bytes();
-        bytes.push(0);
-        bytes.extend_from_slice(&self.body);
-        Fingerprint::new(self.route, &bytes)
+        let route = self.route.0.to_be_bytes();
+        let workspace = self.workspace.map(|workspace| workspace.0.to_be_bytes());
+        Fingerprint::of_fields(&[
+            &route,
+            workspace.as_ref().map_or(&[][..], |id| &id[..]),
+            self.method.as_str().as_bytes(),
+            self.path_and_query.as_bytes(),
+            &self.body,
+        ])
     }
 
     fn remaining(&self, context: &Context) -> Duration {
