Keep the spacing of crashes that are older than the vm

A vm that started after a prompt part had crashed three targets got the count from the other vms, but let requests with the part through.

Cause: times of crashes travel as ages and were kept on the clock of the vm, which starts at zero. Ages above that of the vm all became zero, so crashes far apart counted as one moment. Counts of whole requests have no spacing and are not affected.

Evidence: a_started_vm_refuses_a_part_whose_crashes_are_older_than_the_vm failed before.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -204,13 +204,30 @@
     Broadcast(QuarantineMessage),
 }
 
-/// A target that crashed, and when.
+/// Offset of the times of crashes, which can lie before the start of this vm's clock. It is
+/// longer than a count is kept.
+const CRASH_CLOCK_OFFSET: Duration = Duration::from_secs(24 * 3600);
+
+/// A target that crashed, and when, with [`CRASH_CLOCK_OFFSET`].
 #[derive(Clone, Copy, Debug)]
 struct CrashedTarget {
     id: TargetId,
     at: Duration,
 }
 
+impl CrashedTarget {
+    fn new(id: TargetId, age: Duration, now: Duration) -> Self {
+        Self {
+            id,
+            at: (now + CRASH_CLOCK_OFFSET).saturating_sub(age),
+        }
+    }
+
+    fn age(&self, now: Duration) -> Duration {
+        (now + CRASH_CLOCK_OFFSET).saturating_sub(self.at)
+    }
+}
+
 /// Count of a request. It has no targets once it was cleared; it is kept, because other vms may still
 /// report the crashes before.
 #[derive(Debug)]
@@ -234,7 +251,7 @@
         if config.min_spacing.is_zero() {
             return SmallVec::new();
         }
-        let ages = self.targets.iter().map(|t| now.saturating_sub(t.at));
+        let ages = self.targets.iter().map(|target| target.age(now));
         ages.map(|age| age.as_millis().min(u32::MAX.into()) as u32)
             .collect()
     }
@@ -586,10 +603,7 @@
     let ages_ms = ages_ms.iter().copied().chain(std::iter::repeat(0));
     let targets = ids.iter().zip(ages_ms).take(MAX_TARGETS);
     targets
-        .map(|(id, age_ms)| CrashedTarget {
-            id: *id,
-            at: now.saturating_sub(Duration::from_millis(age_ms.into())),
-        })
+        .map(|(id, age_ms)| CrashedTarget::new(*id, Duration::from_millis(age_ms.into()), now))
         .collect()
 }
 
@@ -611,10 +625,7 @@
             } => {
                 let clears = self.clears(fingerprint);
                 let expires = now + self.config.expiry;
-                let crashed = CrashedTarget {
-                    id: target,
-                    at: now,
-                };
+                let crashed = CrashedTarget::new(target, Duration::ZERO, now);
                 self.add(fingerprint, clears, &[crashed], expires, now);
                 if let Some(count) = self.counts.get(&fingerprint) {
                     out.push(QuarantineCommand::Broadcast(QuarantineMessage::Crashed {
--- a/crates/core/tests/part_crashes.rs
+++ b/crates/core/tests/part_crashes.rs
@@ -390,3 +390,19 @@
     };
     check_fleets("a tenth at once", scenario);
 }
+
+/// Guards against a vm that lets requests with a part through to targets because it started after the
+/// crashes: they are further apart than its clock is old.
+#[test]
+fn a_started_vm_refuses_a_part_whose_crashes_are_older_than_the_vm() {
+    let part = Fingerprint::of_prompt_part("m", CRASHING);
+    let mut first = PartCrashes::default();
+    for crash in 1..=3 {
+        first.crashed(&[part], TargetId(crash), ms(100_000 * crash));
+    }
+    let now = ms(310_000);
+    assert!(first.refused_part(&[part], now).is_some());
+    let mut started = PartCrashes::default();
+    started.merge(&first.reports_for(0, now), ms(1000));
+    assert!(started.refused_part(&[part], ms(1000)).is_some());
+}
