Keep crash counts that are close to a refusal in the store

Cause: crash counts of requests and prompt parts were kept in the memory of the vms only.

Ruled out: expiry (600 s) and a changed fingerprint (refused within each life).

Fix: the vm at which a count of two or more targets changes merges the stored counts and writes them under one key with a condition, at most every 0.5 s; 64 requests and 64 parts at most. A starting vm queries the key before it serves; a store that does not reply delays it by one call. StartGate's tests mark that query as made, and have a new one for it.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -27,6 +27,7 @@
 mod scale;
 mod settings;
 mod start_gate;
+mod stored_crashes;
 mod true_time;
 mod usage_collection;
 mod usage_window;
@@ -65,6 +66,7 @@
     ServiceShare, TenantIndex,
 };
 pub use start_gate::StartGate;
+pub use stored_crashes::{STORED_CRASHES_KEY, StoredCrashes};
 pub use true_time::TrueTime;
 pub use usage_collection::{CollectStep, LostReports, UsageCollection};
 pub use usage_window::{RunCounts, UsageWindows, WindowCounts};
--- a/crates/core/src/gateway/part_crashes.rs
+++ b/crates/core/src/gateway/part_crashes.rs
@@ -173,6 +173,16 @@
         self.counts.merge(reports, now);
     }
 
+    /// Merges counts that were stored some time ago.
+    pub fn restore(&mut self, reports: &[CrashReport], age: Duration, now: Duration) {
+        self.counts.restore(reports, age, now);
+    }
+
+    /// Counts to store.
+    pub fn stored_reports(&self, now: Duration) -> Vec<CrashReport> {
+        self.counts.stored_reports(now)
+    }
+
     /// Digest of the counts, which is equal at vms with equal counts.
     pub fn digest(&self, now: Duration) -> u64 {
         self.counts.digest(now)
--- a/crates/core/src/gateway/start_gate.rs
+++ b/crates/core/src/gateway/start_gate.rs
@@ -4,6 +4,9 @@
 //! replica of these may be outdated: it may still contain a withdrawn key or a removed target, even
 //! though the starting vm had a newer one before its restart. Replicas never go back to an older
 //! revision, so the vm uses the newest of several.
+//!
+//! If all vms have started at once, only the store knows which requests crash targets. A vm
+//! therefore waits for one query for them.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -24,6 +27,7 @@
     is_open: bool,
     settings_read: bool,
     targets_read: bool,
+    crashes_queried: bool,
     first_copy_at: Option<Duration>,
     compared: BTreeSet<VmId>,
 }
@@ -32,13 +36,23 @@
     /// Records that the settings were read from the store itself.
     pub fn mark_settings_read(&mut self) {
         self.settings_read = true;
-        self.is_open |= self.targets_read;
+        self.open_if_read();
     }
 
     /// Records that the targets were read from the store itself.
     pub fn mark_targets_read(&mut self) {
         self.targets_read = true;
-        self.is_open |= self.settings_read;
+        self.open_if_read();
+    }
+
+    /// Records that the store has answered a query for crash counts, or failed to.
+    pub fn mark_crashes_queried(&mut self) {
+        self.crashes_queried = true;
+        self.open_if_read();
+    }
+
+    fn open_if_read(&mut self) {
+        self.is_open |= self.settings_read && self.targets_read && self.crashes_queried;
     }
 
     /// Records that a vm compared its replicas with those of this vm and sent all newer data.
@@ -54,7 +68,7 @@
         }
         let first_copy_at = *self.first_copy_at.get_or_insert(now);
         let is_compared = self.compared.len() >= others.min(COMPARED_VMS);
-        self.is_open = is_compared || now >= first_copy_at + MAX_WAIT;
+        self.is_open = is_compared && self.crashes_queried || now >= first_copy_at + MAX_WAIT;
         self.is_open
     }
 
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -35,6 +35,13 @@
 /// an end.
 const MIN_REPORTED_TIME: Duration = Duration::from_secs(10);
 
+/// Number of crashed targets from which a count is worth storing. Most counts are those of sound
+/// requests that a crashed target had, and never grow.
+const MIN_STORED_TARGETS: usize = 2;
+
+/// Maximum number of counts that are stored.
+const MAX_STORED_REPORTS: usize = 64;
+
 /// Configuration of a [`Quarantine`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineConfig {
@@ -156,6 +163,12 @@
             Self::Crashed { fingerprint, .. } | Self::Cleared { fingerprint, .. } => *fingerprint,
         }
     }
+
+    /// Whether the message changes a count that is worth storing.
+    pub fn changes_stored(&self) -> bool {
+        let (Self::Crashed { targets, .. } | Self::Cleared { targets, .. }) = self;
+        targets.len() >= MIN_STORED_TARGETS
+    }
 }
 
 /// A count in the periodic exchange between vms.
@@ -427,14 +440,50 @@
     pub fn merge(&mut self, reports: &[CrashReport], now: Duration) {
         self.expire(now);
         for report in reports.iter().take(MAX_REPORTS_PER_MESSAGE) {
-            let remaining = Duration::from_millis(report.expires_in_ms.into());
-            if remaining <= MIN_REPORTED_TIME {
-                continue;
-            }
-            let expires = now + remaining.min(self.config.expiry);
-            let targets = crashed_targets(&report.targets, &report.ages_ms, now);
-            self.add(report.fingerprint, report.clears, &targets, expires, now);
+            self.merge_report(report, Duration::ZERO, now);
+        }
+    }
+
+    /// Merges counts that were stored some time ago.
+    pub fn restore(&mut self, reports: &[CrashReport], age: Duration, now: Duration) {
+        self.expire(now);
+        for report in reports.iter().take(MAX_STORED_REPORTS) {
+            self.merge_report(report, age, now);
+        }
+    }
+
+    /// Counts to store: those that refuse requests, and then the most recently changed ones.
+    pub fn stored_reports(&self, now: Duration) -> Vec<CrashReport> {
+        let mut stored: Vec<_> = self
+            .counts
+            .iter()
+            .filter(|(_, count)| {
+                is_passed_on(count, now) && count.targets.len() >= MIN_STORED_TARGETS
+            })
+            .map(|(fingerprint, count)| {
+                let importance = (self.is_refused(count), count.change);
+                (Reverse(importance), *fingerprint)
+            })
+            .collect();
+        stored.sort_unstable();
+        let fingerprints = stored.into_iter().take(MAX_STORED_REPORTS);
+        fingerprints
+            .filter_map(|(_, fingerprint)| self.report(fingerprint, now))
+            .collect()
+    }
+
+    /// Merges a report that was made some time ago.
+    fn merge_report(&mut self, report: &CrashReport, age: Duration, now: Duration) {
+        let remaining = Duration::from_millis(report.expires_in_ms.into()).saturating_sub(age);
+        if remaining <= MIN_REPORTED_TIME {
+            return;
+        }
+        let expires = now + remaining.min(self.config.expiry);
+        let mut targets = crashed_targets(&report.targets, &report.ages_ms, now);
+        for target in &mut targets {
+            target.at = target.at.saturating_sub(age);
         }
+        self.add(report.fingerprint, report.clears, &targets, expires, now);
     }
 
     /// The clear that the sender of a message has missed, to be sent back to it.
--- a/crates/core/tests/gateway_waits.rs
+++ b/crates/core/tests/gateway_waits.rs
@@ -70,6 +70,7 @@
 #[test]
 fn a_started_vm_compares_copies_before_it_serves() {
     let mut gate = StartGate::default();
+    gate.mark_crashes_queried();
     assert!(!gate.is_open(5, false, SECOND));
     gate.compared_with(VMS[0]);
     assert!(!gate.is_open(5, true, SECOND));
@@ -88,12 +89,33 @@
     from_store.mark_settings_read();
     assert!(from_store.is_waiting());
     from_store.mark_targets_read();
+    from_store.mark_crashes_queried();
     assert!(!from_store.is_open(90, false, SECOND));
     assert!(from_store.is_open(90, true, SECOND));
     let mut with_one_peer = StartGate::default();
     with_one_peer.compared_with(VMS[0]);
+    with_one_peer.mark_crashes_queried();
     assert!(with_one_peer.is_open(1, true, SECOND));
     let mut unresponsive = StartGate::default();
     assert!(!unresponsive.is_open(5, true, SECOND));
     assert!(unresponsive.is_open(5, true, SECOND * 2));
 }
+
+/// Guards against a vm that sends a request to targets right after all vms have started, before it knows
+/// that the request crashes them.
+#[test]
+fn a_started_vm_queries_crash_counts_before_it_serves() {
+    let mut from_store = StartGate::default();
+    from_store.mark_settings_read();
+    from_store.mark_targets_read();
+    assert!(!from_store.is_open(0, true, SECOND));
+    from_store.mark_crashes_queried();
+    assert!(from_store.is_open(0, true, SECOND));
+    let mut from_peer = StartGate::default();
+    from_peer.compared_with(VMS[0]);
+    assert!(!from_peer.is_open(1, true, SECOND));
+    assert!(
+        from_peer.is_open(1, true, SECOND * 2),
+        "the store does not reply"
+    );
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -18,6 +18,7 @@
 use crate::replication::{self, ReplicaKind, Source};
 use crate::server::Context;
 use crate::state::{vm_id_of, wall_clock};
+use crate::stored_crashes;
 
 /// Interval between ticks of the state machines.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -74,6 +75,9 @@
         maintain_vm_list(&context).await
     });
     spawn(context, |context| async move { tick(&context).await });
+    spawn(context, |context| async move {
+        stored_crashes::maintain(&context).await;
+    });
     spawn(context, |context| async move {
         owner::send_ends(&context).await;
     });
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -167,12 +167,18 @@
     let now = context.shared.now();
     context.shared.quarantine().step(event, now, &mut commands);
     for QuarantineCommand::Broadcast(message) in commands {
+        if message.changes_stored() {
+            context.shared.crash_counts_changed.notify_one();
+        }
         peers::broadcast(context, &Message::Quarantine(message));
     }
 }
 
 /// Sends counts of parts in a message of its own, because vms of earlier versions cannot read it.
 fn broadcast<A: Adapters>(context: &Context<A>, messages: Vec<QuarantineMessage>) {
+    if messages.iter().any(QuarantineMessage::changes_stored) {
+        context.shared.crash_counts_changed.notify_one();
+    }
     if !messages.is_empty() {
         peers::broadcast(context, &Message::PartCrashes(messages));
     }
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -46,6 +46,8 @@
     Crash,
     /// A request was refused because of a prompt part that crashes targets, or tests that part.
     PartRefused,
+    /// Crash counts were read from the store or written to it.
+    StoredCrashes,
     /// An engine was queried for the prompt parts that it caches.
     KeptParts,
     /// A replica was not confirmed for too long, and another vm or the store is queried.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod request_log;
 mod server;
 mod state;
+mod stored_crashes;
 mod stream;
 
 pub use adapters::{
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -157,6 +157,8 @@
     authority: Mutex<Authority<Order>>,
     quarantine: Mutex<Quarantine>,
     part_crashes: Mutex<PartCrashes>,
+    /// Signalled when crash counts that are stored have changed.
+    pub(crate) crash_counts_changed: Notify,
     start_gate: Mutex<StartGate>,
     unresponsive_owners: Mutex<UnresponsiveOwners>,
     /// Entries that describe no usable target.
@@ -268,6 +270,7 @@
                 ..QuarantineConfig::default()
             })),
             part_crashes: Mutex::default(),
+            crash_counts_changed: Notify::new(),
             start_gate: Mutex::default(),
             leaving_since_ms: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
@@ -451,6 +454,11 @@
         }
     }
 
+    /// Records that the store has answered a query for crash counts, or failed to.
+    pub(crate) fn crash_counts_queried(&self) {
+        lock(&self.start_gate).mark_crashes_queried();
+    }
+
     pub(crate) fn set_has_targets(&self) {
         self.has_targets.store(true, Ordering::Relaxed);
     }
