Send half of the requests of the planned-work soak in chunks

The users saw answers of requests with chunked bodies cut around a SIGTERM, and no caller of the suite sent such bodies. Half of the callers do now, some with a pause before the second chunk and before the end of the body.

--- a/crates/jujubebeam/tests/gateway_soak/planned_work.rs
+++ b/crates/jujubebeam/tests/gateway_soak/planned_work.rs
@@ -471,15 +471,19 @@
             _ => (Kind::Verdict, "verdict"),
         };
         let call = Call::post(&format!("/{path}/{id}"), &"body ".repeat(40)).id(&id);
-        let bytes = call.bytes();
-        let pause = Duration::from_millis(match pauses {
-            true => random.random_range(1..300),
-            false => 0,
-        });
-        let (head, rest) = bytes.split_at(bytes.len() - if pauses { 90 } else { 0 });
-        let sent = stream.write_all(head).and_then(|()| {
-            std::thread::sleep(pause);
-            stream.write_all(rest)
+        let parts: Vec<_> = match number % 8 {
+            0..4 => {
+                let bytes = call.bytes();
+                let (head, rest) = bytes.split_at(bytes.len() - if pauses { 90 } else { 0 });
+                vec![head.to_vec(), rest.to_vec()]
+            }
+            _ => call.chunked_bytes().into(),
+        };
+        let longest_pause_ms = 300 / parts.len() as u64 * u64::from(pauses);
+        let sent = parts.iter().try_for_each(|part| {
+            let pause_ms = random.random_range(0..=longest_pause_ms);
+            std::thread::sleep(Duration::from_millis(pause_ms));
+            stream.write_all(part)
         });
         let sent_at = sent.is_ok().then(Instant::now);
         let answer = match sent {
