Share a budget of memory among the large answers of a vm

Reported by other operators: a faulty server sends bytes without end, and the vm that called it runs out of memory.

Cause: answers of plain services are collected before they are forwarded. Each may have 8 MiB, but nothing bounded their sum, and each was copied twice more on its way to the caller.

Large answers are copied to the caller in parts, and count until then. An answer that is too long is no longer counted as a crash of its target.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Response, header};
 use http_body_util::BodyExt;
 use hyper::ext::ReasonPhrase;
@@ -12,12 +11,12 @@
     contains_status_line,
 };
 use ntex::http::StatusCode;
-use ntex::util::Bytes as NtexBytes;
 use ntex::web::HttpResponse;
 use tokio::time::timeout;
 
 use crate::adapters::{Adapters, AnswerHead, Wire, Work};
 use crate::answer::TargetHeaders;
+use crate::collected::{self, CollectError, CollectedAnswer};
 use crate::connection::{PooledRequest, SendError, TargetConnection};
 use crate::crashes;
 use crate::in_flight::InFlight;
@@ -28,10 +27,6 @@
 use crate::state::Shared;
 use crate::stream::{self, EventStream};
 
-/// Longest answer of a plain service. Such answers are buffered completely before they are
-/// forwarded.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-
 /// Longest refusal body that is read so that its connection can be reused.
 const MAX_REFUSAL_BYTES: usize = 16 * 1024;
 
@@ -56,7 +51,7 @@
 /// A complete answer of a target.
 pub(crate) struct CompleteAnswer {
     pub(crate) parts: http::response::Parts,
-    body: Bytes,
+    body: CollectedAnswer,
 }
 
 pub(crate) async fn attempt<A: Adapters>(
@@ -273,15 +268,15 @@
     job.record_response_start(shared);
     let placement = &in_flight.placement;
     let (parts, body) = response.into_parts();
-    let body = match http_body_util::Limited::new(body, MAX_ANSWER_BYTES)
-        .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
+    let body = match collected::collect(&shared.answer_budget, placement.key, body).await {
+        Ok(body) => body,
         Err(error) => {
             in_flight.failed();
             context.pool.close_idle(placement.key);
-            crashes::report_crash(context, job, placement);
+            // The target is alive if it sent too much.
+            if matches!(error, CollectError::Broken(_)) {
+                crashes::report_crash(context, job, placement);
+            }
             return AttemptResult::Failed(AttemptEnd::Broken, format!("answer broke off: {error}"));
         }
     };
@@ -304,7 +299,7 @@
 ) -> HttpResponse {
     record_answer(&context.shared, job, answer.parts.status.as_u16(), None);
     let mut builder = head(&answer.parts);
-    builder.body(NtexBytes::copy_from_slice(&answer.body))
+    builder.body(answer.body.into_body())
 }
 
 /// Starts a response with the status and end-to-end headers of the target's answer.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod backup;
 mod caller_server;
+mod collected;
 mod config;
 mod connection;
 mod control;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::collected::AnswerBudget;
 use crate::config::GatewayConfig;
 use crate::decision_log::DecisionLog;
 use crate::duties::Order;
@@ -163,6 +164,8 @@
     unresponsive_owners: Mutex<UnresponsiveOwners>,
     /// Entries that describe no usable target.
     pub(crate) invalid_entries: InvalidEntries,
+    /// Memory for answers that are collected.
+    pub(crate) answer_budget: Arc<AnswerBudget>,
     /// Ended prompts that are to be reported to their owners.
     pub(crate) prompt_ends: PromptEnds,
     /// Monotonic time in milliseconds at which this vm started to leave, or 0.
@@ -253,6 +256,7 @@
             }),
             unresponsive_owners: Mutex::default(),
             invalid_entries: InvalidEntries::default(),
+            answer_budget: Arc::default(),
             prompt_ends: PromptEnds::default(),
             replicas: Mutex::new(replicas),
             targets_confirmed_ms: AtomicU64::new(0),
