Log cut streams under a limit of their own

A line of a kind is written 40 times a second at most, and refusals and cut streams were one kind. A vm that refuses more requests hides the streams that it cuts, as a leaving one does from 2.5 s after its SIGTERM on.

Evidence: refusals_do_not_hide_a_cut_stream_from_the_log (60 refusals, then a cut stream, three times) failed before: "the cut stream is logged: not within 20 s". Cut streams have a limit of their own now; the event of the line is the same.

--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -22,6 +22,10 @@
     Answered,
     /// A request was refused or failed.
     Ended,
+    /// A stream was cut. It has a limit of its own, because a leaving or overloaded vm refuses more
+    /// requests per second than it may log.
+    #[strum(to_string = "ended")]
+    CutOff,
     /// A target was chosen for a request.
     Placed,
     /// An engine computed a prompt for another one.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -601,7 +601,7 @@
         let shared = &self.context.shared;
         decision!(
             shared,
-            DecisionKind::Ended,
+            DecisionKind::CutOff,
             request = self.job.incoming.attempt_id.as_str(),
             route = self.job.route().name.as_str(),
             target:% = self.job.current_target.borrow(),
