Log answers of which a connection discarded bytes

For a vm an answer is complete, and logged as answered, once it is handed to the HTTP server. The end of a caller's connection is logged now if bytes are left in its buffer, with the last request on it. No logic is changed.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -5,10 +5,8 @@
 //! each worker accepts connections itself and stops in order: it accepts what is left in the queue,
 //! closes the listener, serves the accepted connections, and closes idle connections last.
 
-use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -136,6 +134,7 @@
     async fn run<A: Adapters>(mut self) -> io::Result<()> {
         let context = Context::<A>::new(self.shared.clone()).await;
         spawn_connection_cleanup(&context);
+        let connections = context.connections.clone();
         let http = HttpServiceConfig::new()
             .set_keepalive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
             .set_client_timeout(HEADER_TIMEOUT)
@@ -147,7 +146,6 @@
         let service = HttpService::new(app).pipeline(config.clone()).await;
         let service = service.map_err(|()| io::Error::other("the service cannot be created"))?;
         let listener = tokio::net::TcpListener::from_std(self.listener)?;
-        let open = Rc::new(Cell::new(0));
         let serve = |stream: tokio::net::TcpStream| {
             let connection = stream
                 .into_std()
@@ -155,7 +153,7 @@
             match connection {
                 Ok(io) => {
                     let service: Pipeline<_> = service.clone();
-                    let connection = OpenConnection::new(&open);
+                    let connection = connections.open(&self.shared, io.get_ref());
                     ntex::rt::spawn(async move {
                         let _connection = connection;
                         if let Err(error) = service.call(io).await {
@@ -198,7 +196,7 @@
         let closing = async {
             service.shutdown().await;
             // The shutdown of ntex may end before answers are written to the sockets.
-            while open.get() > 0 {
+            while !connections.is_empty() {
                 sleep(IDLE_CHECK_INTERVAL).await;
             }
         };
@@ -210,22 +208,6 @@
     }
 }
 
-/// Counts a connection of a caller until it is dropped, with its socket.
-struct OpenConnection(Rc<Cell<usize>>);
-
-impl OpenConnection {
-    fn new(open: &Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(open.clone())
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Waits until no request has run for [`IDLE_CONFIRM_TIME`], because a request on a connection that
 /// was just accepted may not have been read yet.
 async fn wait_until_idle(shared: &Shared, until: Instant) {
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -26,6 +26,8 @@
     /// requests per second than it may log.
     #[strum(to_string = "ended")]
     CutOff,
+    /// A caller's connection ended before all bytes of an answer were sent.
+    Unsent,
     /// A target was chosen for a request.
     Placed,
     /// An engine computed a prompt for another one.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -40,7 +40,15 @@
 ) -> HttpResponse {
     let context = (*context).clone();
     let _running = context.track_running();
-    let mut response = match accept(&context, &request, payload).await {
+    let accepted = accept(&context, &request, payload).await;
+    if let Some(io) = request.io() {
+        let id = match &accepted {
+            Ok(job) => &job.incoming.attempt_id,
+            Err((id, _)) => id,
+        };
+        context.connections.record_request(io, id);
+    }
+    let mut response = match accepted {
         Ok(job) => run(&context, Rc::new(job)).await,
         Err((attempt_id, refusal)) => {
             record_refusal(&context.shared, &attempt_id, "-", &refusal, Duration::ZERO);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod attempt;
 mod backup;
+mod caller_connections;
 mod caller_server;
 mod collected;
 mod config;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::adapters::{Adapters, StoreApi, Wire};
+use crate::caller_connections::CallerConnections;
 use crate::caller_server::CallerServer;
 use crate::config::GatewayConfig;
 use crate::connection::ConnectionPool;
@@ -45,6 +46,7 @@
     pub(crate) peers: PeerClient,
     pub(crate) http: Client,
     pub(crate) store: Rc<A::Store>,
+    pub(crate) connections: CallerConnections,
 }
 
 impl<A: Adapters> Clone for Context<A> {
@@ -55,6 +57,7 @@
             peers: self.peers.clone(),
             http: self.http.clone(),
             store: self.store.clone(),
+            connections: self.connections.clone(),
         }
     }
 }
@@ -80,6 +83,7 @@
             )),
             http,
             shared,
+            connections: CallerConnections::default(),
         }
     }
 
