Wait for callers that pause before the end of an answer on a closing connection

Callers saw answers without their end. On a connection that closes after its answer, the HTTP server of ntex waits one second for the caller to read what is left in its buffer, and then discards it. All answers of a leaving vm close their connection, others only on request, so the fault shows around a SIGTERM. The vm counts the answer as complete, logs it as answered, and nothing else.

Ruled out: a reset because of unread bytes (the callers had sent everything), and the end of the process (seconds of the grace period are left; the ready phase of the test has no signal).

The time is that of an idle caller, 40 s. A leaving vm ends as before, because the wait for open connections is bounded by the grace period.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -13,6 +13,7 @@
 
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, KeepAlive};
+use ntex::io::IoConfig;
 use ntex::rt::System;
 use ntex::service::{Pipeline, ServiceFactory};
 use ntex::time::{Seconds, sleep};
@@ -30,6 +31,10 @@
 /// is announced to callers (15 s), so that no request is sent on a connection that is being closed.
 const CALLER_IDLE_TIMEOUT: Seconds = Seconds(40);
 
+/// Time for which a connection that closes after an answer waits for a caller that does not read its
+/// end. It is as long as for one that sends nothing.
+const CALLER_FLUSH_TIMEOUT: Seconds = CALLER_IDLE_TIMEOUT;
+
 /// Time within which the head of a request must arrive. After that the caller gets status 408.
 const HEADER_TIMEOUT: Seconds = Seconds(4);
 
@@ -139,7 +144,8 @@
             .set_keepalive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
             .set_client_timeout(HEADER_TIMEOUT)
             .set_max_buf_size(MAX_HEADER_BYTES);
-        let config: SharedCfg = SharedCfg::new("callers").add(http).into();
+        let io = IoConfig::new().set_disconnect_timeout(CALLER_FLUSH_TIMEOUT);
+        let config: SharedCfg = SharedCfg::new("callers").add(http).add(io).into();
         let app = App::new()
             .state(context)
             .service(web::resource("/{path}*").to(forward::handle::<A>));
