Soak vms that are stopped under load with large bodies in parts and silent engines

The soak of planned work sends bodies of 200 bytes, refuses most requests, and has one engine for the prompt and its answer. This one answers nine of ten requests, about 400 a second with 6 vms: bodies of up to 55 KB, two thirds in chunks with pauses, prompts and answers at different engines, vms stopped in turn beside SIGHUP and settings, and one stream in 40 silent for up to 1.6 s with continuations that are refused.

--- a/crates/jujubebeam/tests/gateway_soak/main.rs
+++ b/crates/jujubebeam/tests/gateway_soak/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod gap_reader;
 mod limits;
+mod loaded_stop;
 mod planned_stop;
 mod planned_work;
 mod silent_targets;
@@ -139,20 +140,7 @@
 /// times at the same address. Guards also against requests to a target that left long before.
 #[test]
 fn planned_work_in_series_loses_no_request() {
-    let number = |name: &str| -> Option<u64> {
-        let text = std::env::var(format!("JUJUBEBEAM_SOAK_{name}"));
-        text.ok().map(|text| text.parse().expect("a number"))
-    };
-    let quota_ms = std::env::var("JUJUBEBEAM_SOAK_QUOTA_MS").ok().map(|text| {
-        let (on, off) = text.split_once("..").expect("ON..OFF");
-        (on.parse().unwrap(), off.parse().unwrap())
-    });
-    let scale = planned_work::Scale {
-        vms: number("VMS").map_or(PLANNED_VMS, |vms| vms as usize),
-        duration: number("SECONDS").map_or(PLANNED_DURATION, Duration::from_secs),
-        lifetime: number("LIFETIME_MS").map_or(LIFETIME, Duration::from_millis),
-        quota_ms,
-    };
+    let scale = planned_scale();
     let mut broken = Vec::new();
     for seed in seeds() {
         let found = planned_work::play(seed, scale);
@@ -161,6 +149,19 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Guards against answers that are cut when vms are told to stop under load: with bodies of up to 55 KB in
+/// parts, prompts and answers at different engines, and engines that are silent within a stream.
+#[test]
+fn stops_under_load_cut_no_answer() {
+    let scale = planned_scale();
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        let found = loaded_stop::play(seed, scale);
+        broken.extend(found.into_iter().map(|text| format!("seed {seed}: {text}")));
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 /// Guards against answers that are cut sooner than their callers would leave, because a target is
 /// silent for a while, beside changes of settings, reloads and rolling restarts of vms.
 #[test]
@@ -224,6 +225,24 @@
     assert!(received > LARGE_ANSWER_BYTES, "{received} bytes");
 }
 
+/// Size and length of plays with planned work.
+fn planned_scale() -> planned_work::Scale {
+    let number = |name: &str| -> Option<u64> {
+        let text = std::env::var(format!("JUJUBEBEAM_SOAK_{name}"));
+        text.ok().map(|text| text.parse().expect("a number"))
+    };
+    let quota_ms = std::env::var("JUJUBEBEAM_SOAK_QUOTA_MS").ok().map(|text| {
+        let (on, off) = text.split_once("..").expect("ON..OFF");
+        (on.parse().unwrap(), off.parse().unwrap())
+    });
+    planned_work::Scale {
+        vms: number("VMS").map_or(PLANNED_VMS, |vms| vms as usize),
+        duration: number("SECONDS").map_or(PLANNED_DURATION, Duration::from_secs),
+        lifetime: number("LIFETIME_MS").map_or(LIFETIME, Duration::from_millis),
+        quota_ms,
+    }
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("JUJUBEBEAM_SOAK_SEEDS") else {
         return SEEDS.to_vec();
--- a/crates/jujubebeam/tests/gateway_soak/planned_work.rs
+++ b/crates/jujubebeam/tests/gateway_soak/planned_work.rs
@@ -124,7 +124,7 @@
 }
 
 /// Stops and continues the vms in turn, in groups of different phase.
-fn throttle(fleet: &Fleet, (on_ms, off_ms): (u64, u64)) -> Vec<Child> {
+pub(crate) fn throttle(fleet: &Fleet, (on_ms, off_ms): (u64, u64)) -> Vec<Child> {
     let files: Vec<_> = fleet
         .vms
         .iter()
@@ -477,7 +477,7 @@
                 let (head, rest) = bytes.split_at(bytes.len() - if pauses { 90 } else { 0 });
                 vec![head.to_vec(), rest.to_vec()]
             }
-            _ => call.chunked_bytes().into(),
+            _ => call.chunked_bytes(100),
         };
         let longest_pause_ms = 300 / parts.len() as u64 * u64::from(pauses);
         let sent = parts.iter().try_for_each(|part| {
