Keep a caller's connection open after a long stream

Callers saw the connection end behind a stream that lasted beyond the fourth second of the connection, although its head did not say so; a request sent at that moment got no answer. ntex arms a timer for the head of the first request (4 s) and for idle connections (40 s), and does not disarm it when a request begins. A timer that fires while a stream is answered closes the connection after the answer.

Class: the HTTP server ends a connection after a time that the gateway did not choose, as in the discarded ends of answers. Ruled out: the stream itself, which is whole.

Evidence: a_connection_stays_open_after_a_long_stream (a stream of 5.6 s, then a second one) failed before, with status 0 for the second request; it passes now. The handler disarms the timer; ntex arms it again once the answer is written.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -40,6 +40,10 @@
 ) -> HttpResponse {
     let context = (*context).clone();
     let _running = context.track_running();
+    // The timer of the head or of the idle connection would end the connection after the answer.
+    if let Some(io) = request.io() {
+        io.stop_timer();
+    }
     let accepted = accept(&context, &request, payload).await;
     if let Some(io) = request.io() {
         let id = match &accepted {
