Cut answers of the slowest callers instead of dropping those of others

Callers got 502 for large answers of sound targets, also for requests that run once and had run. An answer counted against the budget of 32 MiB until its caller had read it, and only answers that were still being collected were dropped. A few callers that do not read therefore cost all others every answer over 64 KiB, and the sound targets counted as failing.

Ruled out: the limits of an answer (1 MiB answers were dropped), and faulty targets (the test has one target, which answers everything).

Why it works: answers that are being forwarded are sure of 16 MiB only. Beyond that, one that needs memory waits until the caller that is most behind has had its time (1 s, and 1 s for every 2 MiB that it has read), and the connection of that caller is closed. Memory is reserved before a buffer grows, so that waiting answers stay within the budget, and a complete answer counts with its length.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -299,7 +299,7 @@
 ) -> HttpResponse {
     record_answer(&context.shared, job, answer.parts.status.as_u16(), None);
     let mut builder = head(&answer.parts);
-    builder.body(answer.body.into_body())
+    builder.body(answer.body.into_body(job.connection()))
 }
 
 /// Starts a response with the status and end-to-end headers of the target's answer.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -361,6 +361,11 @@
         }
     }
 
+    /// The caller's connection.
+    pub(crate) fn connection(&self) -> Option<IoRef> {
+        self.io.clone()
+    }
+
     /// Completes when the caller's connection has ended.
     pub(crate) fn on_disconnect(&self) -> Option<OnDisconnect> {
         self.io.as_ref().map(IoRef::on_disconnect)
