--- a/crates/gateway/src/collected.rs
+++ b/crates/gateway/src/collected.rs
@@ -232,7 +232,8 @@
 }
 
 impl HeldBytes {
-    /// Sets the size of the answer as soon as there is room for it, which slow callers may delay. Returns false if the answer was dropped.
+    /// Sets the size of the answer as soon as there is room for it, which slow callers may delay.
+    /// Returns false if the answer was dropped.
     async fn reserve(&self, bytes: usize) -> bool {
         loop {
             let freed = self.budget.freed.notified();
