--- a/crates/jujubebeam/tests/gateway_soak/main.rs
+++ b/crates/jujubebeam/tests/gateway_soak/main.rs
@@ -2,9 +2,9 @@
 //!
 //! `JUJUBEBEAM_SOAK_SEEDS=1..50 JUJUBEBEAM_SOAK_SECONDS=10` plays other seeds for longer. Faults of
 //! the clock are not part of it: a process reads the clock of the machine, which all share. Planned
-//! work is also played with more vms (`JUJUBEBEAM_SOAK_VMS=20`), with vms that run for 20 of each 100 ms
+//! work and stops under load are also played with more vms (`JUJUBEBEAM_SOAK_VMS=20`), with vms that run for 20 of each 100 ms
 //! (`JUJUBEBEAM_SOAK_QUOTA_MS=20..80`) or that stop more slowly (`JUJUBEBEAM_SOAK_LIFETIME_MS=2000`). Logs of failed
-//! seeds of planned work and of silent targets are kept in `JUJUBEBEAM_SOAK_LOGS`.
+//! seeds of planned work, stops under load and silent targets are kept in `JUJUBEBEAM_SOAK_LOGS`.
 
 mod callers;
 mod faults;
