--- /dev/null
+++ b/review/stand-2/cases.rs
@@ -0,0 +1,42 @@
+//! The cases, each with its check.
+
+mod overlap;
+
+use std::path::Path;
+
+use crate::record::Record;
+
+/// What a play has shown.
+pub enum Verdict {
+    Held,
+    Broken,
+}
+
+/// Plays a case and returns the exit code.
+pub fn play(case: &str, folder: &Path, has_trouble: bool) -> i32 {
+    let record = Record::new();
+    record.line(format!("case {case}, disruption: {has_trouble}"));
+    let played = match case {
+        "overlap" => overlap::play(&record, has_trouble),
+        _ => {
+            eprintln!("unknown case {case}");
+            return 2;
+        }
+    };
+    let code = match played {
+        Ok(Verdict::Held) => {
+            record.line("the rule held");
+            0
+        }
+        Ok(Verdict::Broken) => {
+            record.line("the rule was broken");
+            1
+        }
+        Err(error) => {
+            record.line(format!("the case could not run: {error}"));
+            2
+        }
+    };
+    record.write(folder);
+    code
+}
