--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -1,5 +1,6 @@
 //! The cases, each with its check.
 
+mod dark;
 mod overlap;
 
 use std::path::Path;
@@ -17,6 +18,7 @@
     let record = Record::new();
     record.line(format!("case {case}, disruption: {has_trouble}"));
     let played = match case {
+        "dark" => dark::play(&record, has_trouble),
         "overlap" => overlap::play(&record, has_trouble),
         _ => {
             eprintln!("unknown case {case}");
--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -117,6 +117,12 @@
         self.state.1.notify_all();
     }
 
+    /// Removes a key, as a server that has left or whose entry has run out.
+    pub fn remove(&self, key: &str) {
+        self.state.0.lock().unwrap().remove(key);
+        self.state.1.notify_all();
+    }
+
     fn serve(&self, mut connection: Connection) -> io::Result<()> {
         loop {
             let request = connection.read()?;
