--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -2,6 +2,7 @@
 
 mod dark;
 mod overlap;
+mod unframed;
 
 use std::path::Path;
 
@@ -13,6 +14,14 @@
     Broken,
 }
 
+/// Runs an engine in this process until it is killed. Returns the exit code.
+pub fn run_engine(id: Option<String>, stage: Option<String>) -> i32 {
+    let (Some(id), Some(stage)) = (id, stage) else {
+        return 2;
+    };
+    unframed::run_engine(&id, &stage).map_or(2, |()| 0)
+}
+
 /// Plays a case and returns the exit code.
 pub fn play(case: &str, folder: &Path, has_trouble: bool) -> i32 {
     let record = Record::new();
@@ -20,6 +29,7 @@
     let played = match case {
         "dark" => dark::play(&record, has_trouble),
         "overlap" => overlap::play(&record, has_trouble),
+        "unframed" => unframed::play(&record, has_trouble),
         _ => {
             eprintln!("unknown case {case}");
             return 2;
--- a/review/stand-2/cases/overlap.rs
+++ b/review/stand-2/cases/overlap.rs
@@ -11,7 +11,7 @@
 
 /// Sizes and times of `darn-advice` on the sheet of the Brittany deployment.
 const TOKENS: u64 = 91;
-const CONFIG: &str = r#"{"version":1,
+pub(super) const CONFIG: &str = r#"{"version":1,
 "routes":[{"name":"darn-advice","host":"h.example","path-prefix":"/darn/","kind":"streaming","timeout-ms":15000,"target-latency-ms":100,"target-gap-ms":150,"max-attempts":2,"priority":1,"sticky-sessions":true,"service":"llm"}],
 "services":[{"name":"llm","health-check-path":"/health","max-connections":160,"engine":{"slots":16,"kv-tokens":783000,"kv-token-bytes":163840,"link-mbps":10000000}}],
 "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -17,6 +17,10 @@
 
 fn main() {
     let mut words = std::env::args().skip(1);
+    // An engine in a process of its own, which a case can kill.
+    if std::env::args().nth(1).as_deref() == Some("engine") {
+        exit(cases::run_engine(words.nth(1), words.next()));
+    }
     let (Some(case), Some(folder)) = (words.next(), words.next()) else {
         eprintln!("usage: stand-2 CASE FOLDER");
         exit(2);
