Find out whether targets that leave attempts unanswered have crashed

Cause: a crash counted only if a read or a write failed while an attempt waited. An attempt that ends by a timer or with its caller closes the connection itself and drops what is known of the crash. Ruled out: counts that are cleared (no such line), and the kernel's timeouts (a silent process whose kernel acknowledges is never noticed by them).

Change: an attempt that is dropped before something shows how it ended at its target is kept (CrashEvidence) until the run of the target has answered anything, has been replaced, or has stayed silent for 2 s and to a health check while another target answers. No message or stored value changes.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -10,6 +10,7 @@
 mod caller_memory;
 mod carried_attempts;
 mod catalog;
+mod crash_evidence;
 mod freshness;
 mod helpers;
 mod identity;
@@ -47,6 +48,9 @@
 };
 pub use carried_attempts::CarriedAttempts;
 pub use catalog::{Catalog, CatalogTarget, Stage, TargetChange, TargetKey, TargetPhase};
+pub use crash_evidence::{
+    CrashEvidence, EvidenceOutcome, EvidenceStep, RunState, UnansweredAttempt,
+};
 pub use freshness::{Freshness, ReplicaAge};
 pub use helpers::Helpers;
 pub use identity::{IdentifyingFields, RequestIdentity};
--- a/crates/core/src/gateway/identity.rs
+++ b/crates/core/src/gateway/identity.rs
@@ -6,6 +6,8 @@
 //! each repetition is never refused. So crashes count against the request as a whole and, as far as
 //! that does not explain them, against what it has in common with others.
 
+use smallvec::SmallVec;
+
 use crate::gateway::{PartFingerprints, PromptPart, shared_parts};
 use crate::quarantine::Fingerprint;
 
@@ -35,7 +37,8 @@
     request: Fingerprint,
     /// Shared parts of the prompt, and then the resource if the request is not the only one for it.
     common: PartFingerprints,
-    prompt_parts: usize,
+    /// Ids of the shared parts.
+    part_ids: SmallVec<[u64; 4]>,
 }
 
 impl RequestIdentity {
@@ -57,18 +60,19 @@
             model.as_bytes(),
             &ids,
         ]);
-        let mut common: PartFingerprints = shared_parts(fields.prompt_parts)
+        let shared = shared_parts(fields.prompt_parts).iter();
+        let part_ids: SmallVec<_> = shared.map(|part| part.id).collect();
+        let mut common: PartFingerprints = part_ids
             .iter()
-            .map(|part| Fingerprint::of_prompt_part(model, part.id))
+            .map(|id| Fingerprint::of_prompt_part(model, *id))
             .collect();
-        let prompt_parts = common.len();
         if fields.query.is_some() || !fields.prompt_parts.is_empty() {
             common.push(resource);
         }
         Self {
             request,
             common,
-            prompt_parts,
+            part_ids,
         }
     }
 
@@ -83,11 +87,19 @@
         &self.common
     }
 
+    /// What other requests may have in common with it, with names for the log: the ids of the prompt
+    /// parts, or `resource`.
+    pub fn named_common(&self) -> impl Iterator<Item = (String, Fingerprint)> {
+        let ids = self.part_ids.iter().map(|id| format!("{id:x}"));
+        let names = ids.chain(std::iter::once("resource".to_owned()));
+        names.zip(self.common.iter().copied())
+    }
+
     /// The common parts against which a crash counts. That of a request which has crashed targets
     /// before does not count against its resource, because it explains the crash itself.
     pub fn blamed(&self, has_crashed_before: bool) -> &[Fingerprint] {
         match has_crashed_before {
-            true => &self.common[..self.prompt_parts],
+            true => &self.common[..self.part_ids.len()],
             false => &self.common,
         }
     }
--- a/crates/core/src/gateway/leaving.rs
+++ b/crates/core/src/gateway/leaving.rs
@@ -36,7 +36,7 @@
     }
 
     /// Whether an entry describes this run.
-    pub(super) fn is_run_of(&self, target: &CatalogTarget) -> bool {
+    pub fn is_run_of(&self, target: &CatalogTarget) -> bool {
         self.born_ms == target.born_ms && self.id == target.id && self.address == target.address
     }
 }
--- a/crates/core/src/gateway/part_crashes.rs
+++ b/crates/core/src/gateway/part_crashes.rs
@@ -93,7 +93,18 @@
         target: TargetId,
         now: Duration,
     ) -> Vec<QuarantineMessage> {
-        let sound_since = now.saturating_sub(self.config.sound_time);
+        self.crashed_before(parts, target, Duration::ZERO, now)
+    }
+
+    /// Counts a crash that was found some time later. Returns the messages for all other vms.
+    pub fn crashed_before(
+        &mut self,
+        parts: &[Fingerprint],
+        target: TargetId,
+        age: Duration,
+        now: Duration,
+    ) -> Vec<QuarantineMessage> {
+        let sound_since = now.saturating_sub(self.config.sound_time + age);
         let mut messages = Vec::new();
         for part in parts {
             let is_sound = self.sound.peek(part).is_some_and(|at| *at >= sound_since);
@@ -102,6 +113,7 @@
                 let event = QuarantineEvent::Crashed {
                     fingerprint,
                     target,
+                    age,
                 };
                 self.step(event, now, &mut messages);
             }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -196,6 +196,8 @@
         fingerprint: Fingerprint,
         /// The target.
         target: TargetId,
+        /// Time since the crash, which may be found later.
+        age: Duration,
     },
     /// A request of this vm was answered completely.
     #[serde(rename = "Whole")]
@@ -671,10 +673,11 @@
             QuarantineEvent::Crashed {
                 fingerprint,
                 target,
+                age,
             } => {
                 let clears = self.clears(fingerprint);
                 let expires = now + self.config.expiry;
-                let crashed = CrashedTarget::new(target, Duration::ZERO, now);
+                let crashed = CrashedTarget::new(target, age, now);
                 self.add(fingerprint, clears, &[crashed], expires, now);
                 if let Some(count) = self.counts.get(&fingerprint) {
                     out.push(QuarantineCommand::Broadcast(QuarantineMessage::Crashed {
--- a/crates/core/tests/quarantine_counts.rs
+++ b/crates/core/tests/quarantine_counts.rs
@@ -12,6 +12,7 @@
     QuarantineEvent::Crashed {
         fingerprint,
         target: TargetId(target),
+        age: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/quarantine_exchange.rs
+++ b/crates/core/tests/quarantine_exchange.rs
@@ -53,6 +53,7 @@
     QuarantineEvent::Crashed {
         fingerprint: fingerprint(number),
         target: TargetId(target),
+        age: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/stored_crashes.rs
+++ b/crates/core/tests/stored_crashes.rs
@@ -49,6 +49,7 @@
         let event = QuarantineEvent::Crashed {
             fingerprint: fingerprint(request),
             target: TargetId(target),
+            age: Duration::ZERO,
         };
         self.requests.step(event, now, &mut Vec::new());
     }
--- a/crates/gateway/src/adapters.rs
+++ b/crates/gateway/src/adapters.rs
@@ -207,6 +207,8 @@
     fn is_reserved(name: &str) -> bool;
     /// Headers to add to a request to a target.
     fn outgoing(outgoing: &Outgoing<'_>) -> OutgoingHeaders;
+    /// Headers of a health check of a target.
+    fn health_check(target_id: &str) -> OutgoingHeaders;
     /// Headers to add to a request that is passed on to another vm, which reads them as those of a
     /// caller.
     fn to_vm(incoming: &Incoming, time_left: Duration) -> OutgoingHeaders;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -119,13 +119,13 @@
         .map_err(|error| (AttemptEnd::NotSent, error.to_string()))?;
     let sent_at = shared.now();
     record_limited_send(shared, placement, &work);
-    in_flight.record_send();
+    in_flight.record_send(job);
     let response = match connection.send(request).await {
         Ok(response) => response,
         Err(error) => {
             let (end, reason) = record_send_error(context, in_flight, error);
             if end == AttemptEnd::Broken {
-                crashes::report_crash(context, job, placement);
+                crashes::report_crash(context, job, in_flight);
             }
             return Err((end, reason));
         }
@@ -165,10 +165,12 @@
     // A caller would take it for an interim answer and wait on. Requests never ask for it, because
     // their `Upgrade` header is not forwarded.
     if response.status() == http::StatusCode::SWITCHING_PROTOCOLS {
+        in_flight.settle();
         in_flight.failed();
         return Err((AttemptEnd::Broken, "target changed the protocol".into()));
     }
     if response.status().as_u16() > MAX_STATUS {
+        in_flight.settle();
         in_flight.failed();
         let reason = format!("answer with the invalid status {}", response.status());
         return Err((AttemptEnd::Broken, reason));
@@ -212,10 +214,12 @@
         }
         // Dropping the connection closes it. Nothing that arrives on it later can be trusted.
         AnswerVerdict::OfAnotherRequest => {
+            in_flight.settle();
             in_flight.failed();
             Err((AttemptEnd::Broken, "answer of another request".into()))
         }
         AnswerVerdict::Untrusted => {
+            in_flight.settle();
             in_flight.failed();
             Err((AttemptEnd::Broken, "answer is not the target's own".into()))
         }
@@ -286,14 +290,16 @@
         Err(error) => {
             in_flight.failed();
             context.pool.close_idle(placement.key);
-            // The target is alive if it sent too much.
-            if matches!(error, CollectError::Broken(_)) {
-                crashes::report_crash(context, job, placement);
+            match error {
+                CollectError::Broken(_) => crashes::report_crash(context, job, in_flight),
+                // The target is alive if it sent too much.
+                CollectError::TooLong | CollectError::OverBudget => in_flight.settle(),
             }
             return AttemptResult::Failed(AttemptEnd::Broken, format!("answer broke off: {error}"));
         }
     };
     context.pool.release(placement.key, connection);
+    in_flight.settle();
     // To a caller these statuses mean that the request has not run. Only an explicit statement of
     // the target proves that, and this answer has none.
     if matches!(parts.status.as_u16(), 408 | 421 | 429 | 503) {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -268,6 +268,21 @@
     }
 }
 
+/// Sends a request on a connection of its own, and returns the head of the answer.
+///
+/// # Errors
+///
+/// Returns why there was no answer.
+pub(crate) async fn send_once(
+    address: &str,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, String> {
+    let opened = timeout(CONNECT_TIMEOUT, open_connection(address)).await;
+    let mut sender = opened.map_err(|_| "the connection was not established in time")??;
+    let sent = sender.send_request(request).await;
+    sent.map_err(|error| error.to_string())
+}
+
 /// Counts the interim responses to one request.
 #[derive(Clone, Debug, Default)]
 struct InterimCounter(Arc<InterimCount>);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::adapters::{Adapters, StoreApi};
+use crate::crash_evidence;
 use crate::duties;
 use crate::host_address::is_host_address;
 use crate::link_tests;
@@ -90,6 +91,9 @@
     spawn(context, |context| async move {
         link_tests::run(&context.shared).await;
     });
+    spawn(context, |context| async move {
+        crash_evidence::run(&context).await;
+    });
     spawn(context, |context| async move {
         owner::send_ends(&context).await;
     });
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use http::header;
-use jujubebeam_core::gateway::{Placement, owner_of, shared_parts};
+use jujubebeam_core::gateway::{
+    Placement, RequestIdentity, TargetRun, UnansweredAttempt, owner_of,
+};
 use jujubebeam_core::quarantine::{
     Fingerprint, QuarantineCommand, QuarantineEvent, QuarantineMessage, Verdict,
 };
@@ -18,6 +20,7 @@
 use crate::adapters::Adapters;
 use crate::answer::{Reason, Refusal};
 use crate::decision_log::{DecisionKind, decision, millis};
+use crate::in_flight::InFlight;
 use crate::job::Job;
 use crate::message::Message;
 use crate::peers;
@@ -72,36 +75,71 @@
 
 /// Id of the prompt part with this fingerprint, as in the request, or `resource`.
 fn part_name(job: &Job, refused: Fingerprint) -> String {
-    let mut named = named_parts(job).filter(|(_, fingerprint)| *fingerprint == refused);
-    named.next().map_or_else(String::new, |(name, _)| name)
+    let mut named = job.identity.named_common();
+    let named = named.find(|(_, fingerprint)| *fingerprint == refused);
+    named.map_or_else(String::new, |(name, _)| name)
+}
+
+/// A request against which crashes count.
+struct Subject<'a> {
+    attempt_id: &'a str,
+    identity: &'a RequestIdentity,
 }
 
-/// What other requests may have in common with a request, with names for the log.
-fn named_parts(job: &Job) -> impl Iterator<Item = (String, Fingerprint)> {
-    let parts = shared_parts(&job.incoming.prompt_parts).iter();
-    let names = parts.map(|part| format!("{:x}", part.id));
-    let names = names.chain(std::iter::once("resource".to_owned()));
-    names.zip(job.identity.common().iter().copied())
+impl<'a> Subject<'a> {
+    fn of(job: &'a Job) -> Self {
+        Self {
+            attempt_id: &job.incoming.attempt_id,
+            identity: &job.identity,
+        }
+    }
 }
 
 /// Reports that a connection broke while the target had the request. If the target crashed, the
 /// request or one of its prompt parts may be the cause.
-pub(crate) fn report_crash<A: Adapters>(context: &Context<A>, job: &Job, placement: &Placement) {
+pub(crate) fn report_crash<A: Adapters>(context: &Context<A>, job: &Job, in_flight: &InFlight) {
+    in_flight.settle();
+    let run = TargetRun::of(&in_flight.placement.target);
+    count_crash(context, &Subject::of(job), &run, Duration::ZERO);
+}
+
+/// Reports that the target of an attempt crashed, which was found after the attempt had ended.
+pub(crate) fn report_unanswered<A: Adapters>(
+    context: &Context<A>,
+    attempt: &UnansweredAttempt,
+    age: Duration,
+) {
+    let subject = Subject {
+        attempt_id: &attempt.attempt_id,
+        identity: &attempt.identity,
+    };
+    count_crash(context, &subject, &attempt.run, age);
+}
+
+fn count_crash<A: Adapters>(
+    context: &Context<A>,
+    subject: &Subject<'_>,
+    run: &TargetRun,
+    age: Duration,
+) {
     let mut hasher = DefaultHasher::new();
-    (&placement.target.id, placement.target.born_ms).hash(&mut hasher);
+    (&run.id, run.born_ms).hash(&mut hasher);
     let target = TargetId(hasher.finish());
     let (shared, now) = (&context.shared, context.shared.now());
-    let fingerprint = job.identity.request();
+    let fingerprint = subject.identity.request();
     let has_crashed_before = shared.quarantine().crashed_targets(fingerprint, now) > 0;
     let event = QuarantineEvent::Crashed {
         fingerprint,
         target,
+        age,
     };
     feed_quarantine(context, event);
-    let blamed = job.identity.blamed(has_crashed_before);
-    let messages = shared.part_crashes().crashed(blamed, target, now);
+    let blamed = subject.identity.blamed(has_crashed_before);
+    let messages = shared
+        .part_crashes()
+        .crashed_before(blamed, target, age, now);
     broadcast(context, messages);
-    log_counts(shared, job, &placement.target.id, "counted");
+    log_counts(shared, subject, &run.id, "counted", age);
 }
 
 /// Reports that the request got a complete answer from a target. Only a success proves that the
@@ -115,6 +153,7 @@
 ) {
     let (shared, now) = (&context.shared, context.shared.now());
     let fingerprint = job.identity.request();
+    shared.crash_evidence().completed(fingerprint);
     let is_suspect = shared.quarantine().verdict(fingerprint, now) != Verdict::Clear;
     if is_suspect {
         feed_quarantine(context, QuarantineEvent::Completed { fingerprint });
@@ -153,7 +192,14 @@
     let is_cleared = !messages.is_empty();
     broadcast(context, messages);
     if is_suspect || is_cleared {
-        log_counts(shared, job, &job.current_target.borrow(), "cleared");
+        let target = job.current_target.borrow();
+        log_counts(
+            shared,
+            &Subject::of(job),
+            &target,
+            "cleared",
+            Duration::ZERO,
+        );
     }
 }
 
@@ -185,14 +231,21 @@
 }
 
 /// Logs how many targets count against a request and its parts after a crash or a complete answer.
-fn log_counts(shared: &Shared, job: &Job, target: &str, outcome: &'static str) {
+fn log_counts(
+    shared: &Shared,
+    subject: &Subject<'_>,
+    target: &str,
+    outcome: &'static str,
+    age: Duration,
+) {
     let now = shared.now();
     let crashed_targets = shared
         .quarantine()
-        .crashed_targets(job.identity.request(), now);
+        .crashed_targets(subject.identity.request(), now);
     let parts: Vec<_> = {
         let part_crashes = shared.part_crashes();
-        let counts = named_parts(job).map(|(name, fingerprint)| {
+        let named = subject.identity.named_common();
+        let counts = named.map(|(name, fingerprint)| {
             let crashed = part_crashes.crashed_targets(fingerprint, now);
             format!("{name}={crashed}")
         });
@@ -201,11 +254,11 @@
     decision!(
         shared,
         DecisionKind::Crash,
-        request = job.incoming.attempt_id.as_str(),
+        request = subject.attempt_id,
         target = target,
         outcome = outcome,
         crashed_targets = crashed_targets,
         parts = parts.join(","),
-        after_ms = millis(job.arrived_at.elapsed())
+        age_ms = millis(age)
     );
 }
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -48,8 +48,10 @@
     InvalidEntries,
     /// A target sent a notice about itself.
     Notice,
-    /// A connection broke while its target had a request, or a count of such crashes was cleared.
+    /// A target crashed while it had a request, or a count of such crashes was cleared.
     Crash,
+    /// It was found what became of a target that left an attempt without an answer.
+    Unanswered,
     /// A request was refused because of a prompt part that crashes targets, or tests that part.
     PartRefused,
     /// Crash counts were read from the store or written to it.
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -1,15 +1,18 @@
 //! Requests in flight, which are counted at their targets.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use jujubebeam_core::VmId;
-use jujubebeam_core::gateway::{LoadReport, Placement, PromptEnd, PromptOutcome, PromptRequestId};
+use jujubebeam_core::gateway::{
+    LoadReport, Placement, PromptEnd, PromptOutcome, PromptRequestId, TargetRun, UnansweredAttempt,
+};
 
 use crate::backup::Backup;
 use crate::hand_over::ReportedHandOver;
+use crate::job::Job;
 use crate::state::Shared;
 
 /// A placement by the owner of the service, to which its end is reported.
@@ -65,6 +68,9 @@
     pub(crate) hand_over: Option<Rc<ReportedHandOver>>,
     /// Set until the end has been reported to the owner.
     owned: Cell<Option<OwnerPlacement>>,
+    /// Set while the target has the request. If the entry is dropped with it, nothing showed how the
+    /// attempt ended at the target, which may have crashed.
+    unanswered: RefCell<Option<UnansweredAttempt>>,
 }
 
 impl InFlight {
@@ -76,6 +82,7 @@
             backup: None,
             hand_over: None,
             owned: Cell::new(None),
+            unanswered: RefCell::default(),
         }
     }
 
@@ -92,14 +99,36 @@
     }
 
     /// Records that the request is sent to the target.
-    pub(crate) fn record_send(&self) {
-        let (service, now) = (&self.placement.target.service, self.shared.now());
-        self.shared.reachability().sent(service, now);
+    pub(crate) fn record_send(&self, job: &Job) {
+        let (target, now) = (&self.placement.target, self.shared.now());
+        self.shared.reachability().sent(&target.service, now);
+        self.unanswered.replace(Some(UnansweredAttempt {
+            attempt_id: job.incoming.attempt_id.clone(),
+            identity: job.identity.clone(),
+            run: TargetRun::of(target),
+            service: target.service.clone(),
+            silent_since: now,
+        }));
         if let Some(hand_over) = &self.hand_over {
             hand_over.record_send(self.placement.key);
         }
     }
 
+    /// Records how the attempt ended at the target, so that it is no evidence of a crash.
+    pub(crate) fn settle(&self) {
+        self.unanswered.take();
+    }
+
+    /// Records that the target sent a part of the answer.
+    pub(crate) fn record_contact(&self) {
+        let now = self.shared.now();
+        if let Some(unanswered) = &mut *self.unanswered.borrow_mut() {
+            unanswered.silent_since = now;
+        }
+        let key = self.placement.key;
+        self.shared.crash_evidence().answered(key, now);
+    }
+
     /// Records that the first event of a stream arrived.
     pub(crate) fn record_first_event(&self) {
         if let Some(hand_over) = &self.hand_over {
@@ -110,7 +139,7 @@
     /// Records that the first byte of the answer arrived.
     pub(crate) fn answered(&self, report: Option<LoadReport>) {
         let now = self.shared.now();
-        self.record_contact(now);
+        self.record_answer(now);
         self.shared
             .fleet()
             .placer
@@ -122,7 +151,8 @@
     /// Records that the target stated that it did not run the request.
     pub(crate) fn refused(&self, report: Option<LoadReport>) {
         let now = self.shared.now();
-        self.record_contact(now);
+        self.record_answer(now);
+        self.settle();
         self.shared
             .fleet()
             .placer
@@ -145,6 +175,7 @@
     /// Records that the request could not be sent to the target.
     pub(crate) fn unreachable(&self) {
         let now = self.shared.now();
+        self.settle();
         self.shared
             .reachability()
             .failed(&self.placement.target.service);
@@ -152,7 +183,8 @@
         self.notify_owner(PromptOutcome::Unreachable, None);
     }
 
-    fn record_contact(&self, now: Duration) {
+    fn record_answer(&self, now: Duration) {
+        self.record_contact();
         let service = &self.placement.target.service;
         self.shared.reachability().answered(service, now);
     }
@@ -169,5 +201,9 @@
         let now = self.shared.now();
         self.shared.fleet().placer.finished(&self.placement, now);
         self.notify_owner(PromptOutcome::GivenUp, None);
+        if let Some(unanswered) = self.unanswered.take() {
+            let key = self.placement.key;
+            self.shared.crash_evidence().ended(key, unanswered, now);
+        }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod config;
 mod connection;
 mod control;
+mod crash_evidence;
 mod crashes;
 mod decision_log;
 mod duties;
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -105,7 +105,10 @@
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
         match body.collect().await {
-            Ok(body) => Ok((status, body.to_bytes(), connection)),
+            Ok(body) => {
+                in_flight.settle();
+                Ok((status, body.to_bytes(), connection))
+            }
             Err(error) => Err((AttemptEnd::Broken, error.to_string())),
         }
     };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,11 +6,11 @@
 
 use jujubebeam_core::authority::{Authority, AuthorityConfig, Holder};
 use jujubebeam_core::gateway::{
-    Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, Freshness, GatewaySettings, Helpers,
-    MIN_STREAM_LIFETIME, Mirror, MirrorItem, PartCrashes, PermitConfig, Permits, PlacementConfig,
-    Placer, PromptOwner, PromptRequestId, QuotaConfig, Quotas, RateLimits, Reachability,
-    SoftwareVersions, Stage, StartGate, StreamOrigins, TrueTime, UnresponsiveOwners, UsageWindows,
-    stream_lifetime,
+    Admission, ArrivalBudget, ArrivalBudgetConfig, Catalog, CrashEvidence, Freshness,
+    GatewaySettings, Helpers, MIN_STREAM_LIFETIME, Mirror, MirrorItem, PartCrashes, PermitConfig,
+    Permits, PlacementConfig, Placer, PromptOwner, PromptRequestId, QuotaConfig, Quotas,
+    RateLimits, Reachability, SoftwareVersions, Stage, StartGate, StreamOrigins, TrueTime,
+    UnresponsiveOwners, UsageWindows, stream_lifetime,
 };
 use jujubebeam_core::membership::{Membership, MembershipConfig, Record};
 use jujubebeam_core::quarantine::{Quarantine, QuarantineConfig};
@@ -177,6 +177,7 @@
     authority: Mutex<Authority<Order>>,
     quarantine: Mutex<Quarantine>,
     part_crashes: Mutex<PartCrashes>,
+    crash_evidence: Mutex<CrashEvidence>,
     /// Signalled when crash counts that are stored have changed.
     pub(crate) crash_counts_changed: Notify,
     streams: Mutex<Streams>,
@@ -319,6 +320,7 @@
                 ..QuarantineConfig::default()
             })),
             part_crashes: Mutex::default(),
+            crash_evidence: Mutex::default(),
             crash_counts_changed: Notify::new(),
             streams: Mutex::new(Streams {
                 versions: SoftwareVersions::new(MIN_STREAM_LIFETIME),
@@ -447,6 +449,10 @@
         lock(&self.part_crashes)
     }
 
+    pub(crate) fn crash_evidence(&self) -> MutexGuard<'_, CrashEvidence> {
+        lock(&self.crash_evidence)
+    }
+
     /// Number of reachable vms, including this one.
     pub(crate) fn vms(&self) -> usize {
         let now = self.now();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -113,7 +113,7 @@
             Err(reason)
         }
         StreamItem::Invalid(error) => {
-            source.record_failure(context);
+            source.record_invalid(context);
             Err(error.to_string())
         }
     }
@@ -148,6 +148,7 @@
         loop {
             match self.splitter.take_events() {
                 Ok(Some(CompleteEvents { bytes, has_content })) => {
+                    self.in_flight.record_contact();
                     return match has_content {
                         true => StreamItem::Events(bytes),
                         false => StreamItem::Comment(bytes),
@@ -197,10 +198,16 @@
     /// Records that the stream broke off, which may mean that the target crashed.
     fn record_break<A: Adapters>(&self, context: &Context<A>, job: &Job) {
         self.record_failure(context);
-        crashes::report_crash(context, job, &self.in_flight.placement);
+        crashes::report_crash(context, job, &self.in_flight);
     }
 
-    /// Records that the stream broke off, stalled or is invalid. Only the first may be a crash.
+    /// Records that the target sent something that must not be forwarded, so it has not crashed.
+    fn record_invalid<A: Adapters>(&self, context: &Context<A>) {
+        self.in_flight.settle();
+        self.record_failure(context);
+    }
+
+    /// Records that the stream broke off, stalled or is invalid.
     fn record_failure<A: Adapters>(&self, context: &Context<A>) {
         self.in_flight.failed();
         context.pool.close_idle(self.in_flight.placement.key);
@@ -360,7 +367,7 @@
                     }
                 }
                 Ok(StreamItem::Invalid(error)) => {
-                    source.record_failure(&self.context);
+                    source.record_invalid(&self.context);
                     if let Err(reason) = self.resume(&error.to_string()).await {
                         return self.abort(&reason).await;
                     }
@@ -421,6 +428,7 @@
             if let Some(open) = source.open {
                 self.context.pool.release(key, open.connection);
             }
+            source.in_flight.settle();
             let (status, has_announced_end) = (StatusCode::OK, source.has_announced_end);
             let placement = &source.in_flight.placement;
             crashes::report_success(
@@ -511,6 +519,7 @@
         };
         let (response, connection) = sent?;
         if !continues_stream(&response) {
+            in_flight.settle();
             let reason = format!("continued with status {}", response.status());
             return Err((AttemptEnd::BrokenMidway, reason));
         }
--- a/crates/gateway/src/stream/hedge.rs
+++ b/crates/gateway/src/stream/hedge.rs
@@ -91,7 +91,7 @@
                             broken = Some(reason);
                         }
                         StreamItem::Invalid(error) => {
-                            silent.record_failure(&context);
+                            silent.record_invalid(&context);
                             silent.close();
                             is_connected.set(false);
                             broken = Some(error.to_string());
@@ -235,13 +235,16 @@
                 StreamItem::Events(events) => return Ok((source, events)),
                 // The caller gets the comments of the silent target.
                 StreamItem::Comment(_) | StreamItem::Stalled => {}
-                StreamItem::End => break "continued without a new event".to_owned(),
+                StreamItem::End => {
+                    source.in_flight.settle();
+                    break "continued without a new event".to_owned();
+                }
                 StreamItem::Broken(reason) => {
                     source.record_break(&context, &job);
                     break reason;
                 }
                 StreamItem::Invalid(error) => {
-                    source.record_failure(&context);
+                    source.record_invalid(&context);
                     break error.to_string();
                 }
             }
--- a/crates/jujubebeam/src/crashes.rs
+++ b/crates/jujubebeam/src/crashes.rs
@@ -62,6 +62,7 @@
     let event = QuarantineEvent::Crashed {
         fingerprint,
         target,
+        age: Duration::ZERO,
     };
     let told = step(context, fingerprint, event);
     if !matches!(verdict(context, fingerprint), Verdict::Refuse { .. }) {
