--- /dev/null
+++ b/crates/core/src/gateway/stream_lookup.rs
@@ -0,0 +1,149 @@
+//! Which version began a stream that a caller takes up, from what the store and the other vms say.
+//!
+//! A belief of this vm alone decides nothing: it may have been cut off or stopped while other vms began
+//! streams at a version that it has not seen. See `docs/incidents/out-of-step-vm.md`.
+
+use serde::{Deserialize, Serialize};
+use strum::IntoStaticStr;
+
+use super::software_versions::StoredVersions;
+use super::stream_origins::{StoredStreams, StreamOrigin};
+
+/// What the store has of streams and versions, read after a request arrived.
+#[derive(Clone, Debug, Default)]
+pub struct StoredKnowledge {
+    /// Versions of the services.
+    pub versions: StoredVersions,
+    /// Streams of the vms, with their keys, if a service has several versions.
+    pub vms: Vec<(String, StoredStreams)>,
+}
+
+/// What another vm says of streams. Their ids were sent after the requests had arrived.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamReply {
+    /// Key of the streams of the vm's run in the store.
+    pub key: String,
+    /// The streams of which the vm has forwarded a part.
+    pub origins: Vec<(String, StreamOrigin)>,
+    /// Versions that may have begun a stream that still goes on.
+    pub versions: StoredVersions,
+}
+
+/// Replies of the other vms.
+#[derive(Clone, Debug, Default)]
+pub struct StreamReplies {
+    /// The replies.
+    pub replies: Vec<StreamReply>,
+    /// Number of vms that did not reply.
+    pub missing: usize,
+}
+
+/// How the version that began a stream is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum OriginSource {
+    /// This vm has forwarded a part of the stream.
+    OwnStream,
+    /// The store has the stream.
+    Store,
+    /// Another vm has forwarded a part of the stream.
+    Vm,
+    /// No vm can have begun a stream of the service at another version.
+    OnlyVersion,
+}
+
+/// Why it is not known which version began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum OriginUnknown {
+    /// No vm that can be asked has recorded the stream.
+    NotRecorded,
+    /// A vm that does not reply may have begun it.
+    VmSilent,
+    /// The store does not reply, and the other vms do not know.
+    StoreUnreadable,
+}
+
+impl StreamReplies {
+    /// Where a stream began, if a vm knows.
+    pub fn origin(&self, id: &str) -> Option<&StreamOrigin> {
+        let mut origins = self.replies.iter().flat_map(|reply| &reply.origins);
+        let origin = origins.find(|(known, _)| known == id);
+        origin.map(|(_, origin)| origin)
+    }
+
+    /// The only version of a service that any vm knows, if all vms have replied. `own` is what this vm
+    /// knows. A vm that gets no reply may be the only one that is out of step.
+    pub fn only_version(&self, service: &str, own: &StoredVersions) -> Option<StreamOrigin> {
+        if self.missing > 0 || self.replies.is_empty() {
+            return None;
+        }
+        let replied = self.replies.iter().map(|reply| &reply.versions);
+        let known = replied.chain([own]).flat_map(|known| known.of(service));
+        only(known).map(|version| origin(service, version))
+    }
+
+    fn has_replied(&self, key: &str) -> bool {
+        self.replies.iter().any(|reply| reply.key == key)
+    }
+}
+
+impl StoredKnowledge {
+    /// Where a stream began that this vm has not forwarded. `id` is the attempt that began it, if the
+    /// caller names it, and `own_key` the key of this vm's streams. Without `replies`, all other vms may
+    /// have begun streams that the store does not have.
+    ///
+    /// # Errors
+    ///
+    /// Returns why that is not known.
+    pub fn origin(
+        &self,
+        service: &str,
+        id: Option<&str>,
+        own_key: &str,
+        replies: &StreamReplies,
+    ) -> Result<(StreamOrigin, OriginSource), OriginUnknown> {
+        let recorded = id.and_then(|id| self.vms.iter().find_map(|(_, vm)| vm.origin(id)));
+        if let Some(origin) = recorded {
+            return Ok((origin.clone(), OriginSource::Store));
+        }
+        if let Some(origin) = id.and_then(|id| replies.origin(id)) {
+            return Ok((origin.clone(), OriginSource::Vm));
+        }
+        let versions = self.versions.of(service);
+        if let [version] = versions {
+            return Ok((origin(service, version), OriginSource::OnlyVersion));
+        }
+        // A vm without a record has used the base alone. One that does not know the stream has not
+        // begun it, if the caller names the stream.
+        let base = self.versions.base(service);
+        let others = self
+            .vms
+            .iter()
+            .filter(|(key, _)| id.is_none() || (key != own_key && !replies.has_replied(key)));
+        let used = others.flat_map(|(_, vm)| vm.used(service).unwrap_or(versions));
+        let mut possible = used.map(String::as_str).chain(base);
+        let unknown = match replies.missing > 0 {
+            true => OriginUnknown::VmSilent,
+            false => OriginUnknown::NotRecorded,
+        };
+        let first = possible.next().filter(|_| base.is_some()).ok_or(unknown)?;
+        match possible.all(|other| other == first) {
+            true => Ok((origin(service, first), OriginSource::OnlyVersion)),
+            false => Err(unknown),
+        }
+    }
+}
+
+fn only<'a>(mut versions: impl Iterator<Item = &'a String>) -> Option<&'a str> {
+    let first = versions.next()?;
+    versions.all(|other| other == first).then_some(first)
+}
+
+fn origin(service: &str, version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: service.to_owned(),
+        // Targets without a version have an empty one in the store.
+        version: (!version.is_empty()).then(|| version.to_owned()),
+    }
+}
