Take up streams by what the store and all vms know, not by one vm's list

Operators of similar systems saw: during a release, one vm was cut off or stood still while targets of a new version joined; streams that had begun there through other vms were taken up at it and went on at another version (ORDER).

Cause: if the store did not reply, a vm took the only version in its own list of targets for that of the stream. A vm that is out of step does not notice that its list is old. The store did not prove it either, as versions were written after their first use.

Change: a vm begins no stream at a version before the store names it and, once there are several, before it has recorded that it uses them, except for the one that was the only one before. A single name in the store is thus a proof, and a stream without a record began at the base unless a vm with a record may have begun it. The other vms are asked if the store does not know or does not reply. Without the store, the only version counts if all other vms confirm it after the request arrived.

Ruled out by tests only in part: a pause that ends the wait for the store uses the same last resort, which is gone; ids that are used again for other software are open (docs/incidents/out-of-step-vm.md).

only_version and is_any_mixed of SoftwareVersions: the second was used by the lookup alone and is gone. a_started_vm_queries_crash_counts_before_it_serves also checks the versions now, and has their name.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -34,6 +34,7 @@
 mod software_versions;
 mod start_gate;
 mod stored_crashes;
+mod stream_lookup;
 mod stream_origins;
 mod true_time;
 mod usage_collection;
@@ -88,10 +89,12 @@
     ServiceShare, TenantIndex,
 };
 pub use software_versions::{
-    MIN_STREAM_LIFETIME, SOFTWARE_VERSIONS_KEY, SoftwareVersions, StoredVersions, stream_lifetime,
+    MIN_STREAM_LIFETIME, SOFTWARE_VERSIONS_KEY, SoftwareVersions, StoredVersions, UsedVersions,
+    stream_lifetime,
 };
 pub use start_gate::StartGate;
 pub use stored_crashes::{STORED_CRASHES_KEY, StoredCrashes};
+pub use stream_lookup::{OriginSource, OriginUnknown, StoredKnowledge, StreamReplies, StreamReply};
 pub use stream_origins::{STREAMS_PREFIX, StoredStreams, StreamEnd, StreamOrigin, StreamOrigins};
 pub use true_time::TrueTime;
 pub use usage_collection::{CollectStep, LostReports, UsageCollection};
--- a/crates/core/src/gateway/placement/request.rs
+++ b/crates/core/src/gateway/placement/request.rs
@@ -25,6 +25,8 @@
     /// The request has brought no event yet, so any version may run it.
     #[default]
     Any,
+    /// The request has brought no event yet, and a stream may begin at these versions only.
+    OneOf(&'a [String]),
     /// Only the version that began the stream may continue it. No target may if that is unknown.
     Of(Option<&'a str>),
 }
@@ -34,6 +36,10 @@
     pub fn allows(self, version: Option<&str>) -> bool {
         match self {
             Self::Any => true,
+            Self::OneOf(versions) => {
+                let name = version.unwrap_or_default();
+                versions.iter().any(|allowed| allowed == name)
+            }
             Self::Of(required) => required.is_some() && version == required,
         }
     }
--- a/crates/core/src/gateway/software_versions.rs
+++ b/crates/core/src/gateway/software_versions.rs
@@ -4,6 +4,11 @@
 //! longer than a stream lasts, that version began all its streams, and nothing needs to be known of
 //! each. The store keeps the versions, because a vm that starts sees only those of today. See
 //! `docs/incidents/joined-versions.md`.
+//!
+//! What the store has is only a proof if it is written before it is needed. A vm therefore begins no
+//! stream at a version that the store does not name. Once it names a second one, each vm records in the
+//! store that it uses them before it does, except for the first one, which all vms may have used until
+//! then. See `docs/incidents/out-of-step-vm.md`.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -38,8 +43,45 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredVersions {
     services: BTreeMap<String, Vec<String>>,
+    /// The version that was the only one before others were added. Vms that have recorded no use have
+    /// used no other one. Vms of earlier versions do not write it.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    base: BTreeMap<String, String>,
+}
+
+impl StoredVersions {
+    /// Versions of a service.
+    pub fn of(&self, service: &str) -> &[String] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether a service has several versions.
+    pub fn is_any_mixed(&self) -> bool {
+        self.services.values().any(|versions| versions.len() > 1)
+    }
+
+    /// The version that vms without a record have used, if it is known.
+    pub fn base(&self, service: &str) -> Option<&str> {
+        self.base.get(service).map(String::as_str)
+    }
+
+    /// The base of a service whose versions are replaced by `wanted`.
+    fn next_base(&self, service: &str, wanted: &[String], was_mixed: bool) -> Option<String> {
+        let kept = self.base.get(service).filter(|base| wanted.contains(base));
+        let base = match (self.of(service), wanted) {
+            (_, [only]) => Some(only),
+            // A store that was restored has lost the records of the others.
+            ([_], _) if was_mixed => None,
+            ([only], _) if wanted.contains(only) => Some(only),
+            _ => kept,
+        };
+        base.cloned()
+    }
 }
 
+/// Versions of each service that a vm has recorded to use.
+pub type UsedVersions = BTreeMap<String, Vec<String>>;
+
 /// What a vm knows of one version.
 #[derive(Clone, Copy, Debug)]
 struct Sighting {
@@ -57,6 +99,10 @@
     services: BTreeMap<String, BTreeMap<String, Sighting>>,
     /// Whether the stored versions have been read.
     is_complete: bool,
+    /// What the store was last known to have.
+    named: StoredVersions,
+    /// What this vm has recorded in the store.
+    recorded: UsedVersions,
 }
 
 impl SoftwareVersions {
@@ -66,9 +112,64 @@
             stream_lifetime,
             services: BTreeMap::new(),
             is_complete: false,
+            named: StoredVersions::default(),
+            recorded: UsedVersions::new(),
         }
     }
 
+    /// Whether a stream may begin at a version: what the store has allows other vms to conclude that it
+    /// did.
+    pub fn may_begin(&self, service: &str, version: &str) -> bool {
+        let named = self.named.of(service);
+        let is_recorded = || {
+            let recorded = self.recorded.get(service);
+            recorded.is_some_and(|versions| versions.iter().any(|used| used == version))
+        };
+        named.iter().any(|known| known == version)
+            && (named.len() == 1 || self.named.base(service) == Some(version) || is_recorded())
+    }
+
+    /// Versions at which streams may begin, unless all that exist now are among them.
+    pub fn restricted(&self, service: &str) -> Option<Vec<String>> {
+        let versions = self.services.get(service)?;
+        let mut present = versions
+            .iter()
+            .filter(|(_, known)| known.absent_since.is_none());
+        present
+            .any(|(version, _)| !self.may_begin(service, version))
+            .then(|| {
+                let names = versions.keys();
+                let allowed = names.filter(|version| self.may_begin(service, version));
+                allowed.cloned().collect()
+            })
+    }
+
+    /// The versions that this vm has to record before it uses them.
+    pub fn to_record(&self) -> UsedVersions {
+        let services = self.named.services.iter();
+        let mixed = services.filter(|(_, versions)| versions.len() > 1);
+        mixed
+            .map(|(service, versions)| (service.clone(), versions.clone()))
+            .collect()
+    }
+
+    /// Records what the store has of this vm.
+    pub fn set_recorded(&mut self, recorded: UsedVersions) {
+        self.recorded = recorded;
+    }
+
+    /// Records that the stored versions were written. Returns whether they have changed for this vm.
+    pub fn set_named(&mut self, named: StoredVersions) -> bool {
+        let is_changed = self.named != named;
+        self.named = named;
+        is_changed
+    }
+
+    /// The versions that may have begun a stream that still goes on, as far as this vm knows.
+    pub fn known(&self, now: Duration) -> StoredVersions {
+        self.recent_versions(now, |_| true)
+    }
+
     /// Records the targets that exist now. Returns whether the stored versions may have to change.
     pub fn observe<'a>(
         &mut self,
@@ -131,7 +232,14 @@
                 });
             }
         }
-        let wanted = self.recent_versions(now, |_| true);
+        let mut wanted = self.recent_versions(now, |_| true);
+        for (service, versions) in &wanted.services {
+            let was_mixed = self.named.of(service).len() > 1;
+            if let Some(base) = stored.next_base(service, versions, was_mixed) {
+                wanted.base.insert(service.clone(), base);
+            }
+        }
+        self.set_named(stored.clone());
         (wanted != *stored).then_some(wanted)
     }
 
@@ -147,13 +255,6 @@
         self.recent(service, now).nth(1).is_some()
     }
 
-    /// Whether that is so for any service.
-    pub fn is_any_mixed(&self, now: Duration) -> bool {
-        self.services
-            .keys()
-            .any(|service| self.is_mixed(service, now))
-    }
-
     fn recent(&self, service: &str, now: Duration) -> impl Iterator<Item = &str> {
         let versions = self.services.get(service).into_iter().flatten();
         let lifetime = self.stream_lifetime;
@@ -181,7 +282,10 @@
                 services.insert(service.clone(), names);
             }
         }
-        StoredVersions { services }
+        StoredVersions {
+            services,
+            base: BTreeMap::new(),
+        }
     }
 }
 
--- a/crates/core/src/gateway/start_gate.rs
+++ b/crates/core/src/gateway/start_gate.rs
@@ -5,8 +5,8 @@
 //! though the starting vm had a newer one before its restart. Replicas never go back to an older
 //! revision, so the vm uses the newest of several.
 //!
-//! If all vms have started at once, only the store knows which requests crash targets. A vm
-//! therefore waits for one query for them.
+//! If all vms have started at once, only the store knows which requests crash targets, and at which
+//! versions streams may begin. A vm therefore waits for one query for each.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -28,6 +28,7 @@
     settings_read: bool,
     targets_read: bool,
     crashes_queried: bool,
+    versions_queried: bool,
     first_copy_at: Option<Duration>,
     compared: BTreeSet<VmId>,
 }
@@ -51,8 +52,18 @@
         self.open_if_read();
     }
 
+    /// Records that the store has answered a query for software versions, or failed to.
+    pub fn mark_versions_queried(&mut self) {
+        self.versions_queried = true;
+        self.open_if_read();
+    }
+
+    fn has_queried(&self) -> bool {
+        self.crashes_queried && self.versions_queried
+    }
+
     fn open_if_read(&mut self) {
-        self.is_open |= self.settings_read && self.targets_read && self.crashes_queried;
+        self.is_open |= self.settings_read && self.targets_read && self.has_queried();
     }
 
     /// Records that a vm compared its replicas with those of this vm and sent all newer data.
@@ -68,7 +79,7 @@
         }
         let first_copy_at = *self.first_copy_at.get_or_insert(now);
         let is_compared = self.compared.len() >= others.min(COMPARED_VMS);
-        self.is_open = is_compared && self.crashes_queried || now >= first_copy_at + MAX_WAIT;
+        self.is_open = is_compared && self.has_queried() || now >= first_copy_at + MAX_WAIT;
         self.is_open
     }
 
--- a/crates/core/src/gateway/stream_lookup.rs
+++ b/crates/core/src/gateway/stream_lookup.rs
@@ -72,15 +72,17 @@
         origin.map(|(_, origin)| origin)
     }
 
-    /// The only version of a service that any vm knows, if all vms have replied. `own` is what this vm
-    /// knows. A vm that gets no reply may be the only one that is out of step.
-    pub fn only_version(&self, service: &str, own: &StoredVersions) -> Option<StreamOrigin> {
+    /// Origin of all streams of a service if `version` is the only one that any vm knows, and all vms
+    /// have replied. A vm that gets no reply may itself be the one that is out of step.
+    pub fn confirm_only_version(&self, service: &str, version: &str) -> Option<StreamOrigin> {
         if self.missing > 0 || self.replies.is_empty() {
             return None;
         }
-        let replied = self.replies.iter().map(|reply| &reply.versions);
-        let known = replied.chain([own]).flat_map(|known| known.of(service));
-        only(known).map(|version| origin(service, version))
+        let replies = self.replies.iter();
+        let mut known = replies.flat_map(|reply| reply.versions.of(service));
+        known
+            .all(|known| known == version)
+            .then(|| origin(service, version))
     }
 
     fn has_replied(&self, key: &str) -> bool {
@@ -135,11 +137,6 @@
     }
 }
 
-fn only<'a>(mut versions: impl Iterator<Item = &'a String>) -> Option<&'a str> {
-    let first = versions.next()?;
-    versions.all(|other| other == first).then_some(first)
-}
-
 fn origin(service: &str, version: &str) -> StreamOrigin {
     StreamOrigin {
         service: service.to_owned(),
--- a/crates/core/src/gateway/stream_origins.rs
+++ b/crates/core/src/gateway/stream_origins.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::software_versions::SoftwareVersions;
+use super::software_versions::{SoftwareVersions, UsedVersions};
 
 /// Prefix of the keys of streams in the store. Each vm has one key.
 pub const STREAMS_PREFIX: &str = "streams/";
@@ -35,6 +35,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredStreams {
     origins: Vec<StreamsOfOrigin>,
+    /// Versions at which the vm may have begun further streams. Vms of earlier versions write none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    used: Option<UsedVersions>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +56,25 @@
         })
     }
 
+    /// Versions at which the vm may have begun streams of a service that are not listed, or `None` if
+    /// it does not state them.
+    pub fn used(&self, service: &str) -> Option<&[String]> {
+        let used = self.used.as_ref()?;
+        Some(used.get(service).map_or(&[], Vec::as_slice))
+    }
+
+    /// Versions at which the vm may have begun streams that are not listed.
+    pub fn all_used(&self) -> UsedVersions {
+        self.used.clone().unwrap_or_default()
+    }
+
+    /// Where a stream began.
+    pub fn origin(&self, id: &str) -> Option<&StreamOrigin> {
+        let mut origins = self.origins.iter();
+        let streams = origins.find(|streams| streams.attempts.iter().any(|known| known == id));
+        streams.map(|streams| &streams.origin)
+    }
+
     /// Number of streams.
     pub fn len(&self) -> usize {
         self.origins
@@ -61,9 +83,9 @@
             .sum()
     }
 
-    /// Whether there are no streams.
+    /// Whether there are no streams, and no versions with further ones.
     pub fn is_empty(&self) -> bool {
-        self.origins.is_empty()
+        self.origins.is_empty() && self.used.as_ref().is_none_or(UsedVersions::is_empty)
     }
 }
 
@@ -161,6 +183,7 @@
         });
         StoredStreams {
             origins: origins.collect(),
+            used: Some(versions.to_record()),
         }
     }
 
--- a/crates/core/tests/gateway_stream_origins.rs
+++ b/crates/core/tests/gateway_stream_origins.rs
@@ -236,3 +236,125 @@
     assert_eq!(changed(&mostly_new), ["i-3"]);
     assert!(changed(&[("i-1", "v1"), ("i-2", "v2"), ("i-3", "v3")]).is_empty());
 }
+
+/// A vm that has read what the store has, and sees these versions.
+fn reading(names: &[&str], stored: &StoredVersions) -> SoftwareVersions {
+    let mut versions = seeing(names, SECOND);
+    versions.merge(stored, SECOND);
+    versions
+}
+
+/// What the store has after a service with one version got a second one.
+fn released() -> StoredVersions {
+    let mut vm = reading(&["v1", "v2"], &stored(&["v1"]));
+    vm.merge(&stored(&["v1"]), SECOND).unwrap()
+}
+
+/// Guards against a stream that begins at a version of which the store says nothing, so that another vm
+/// takes the one that it names for the only one.
+#[test]
+fn no_stream_begins_at_a_version_before_the_store_names_it() {
+    let mut versions = reading(&["v1", "v2"], &stored(&["v1"]));
+    assert!(versions.may_begin("s", "v1"));
+    assert!(!versions.may_begin("s", "v2"));
+    assert_eq!(versions.restricted("s"), Some(vec!["v1".to_owned()]));
+    versions.set_named(released());
+    assert!(!versions.may_begin("s", "v2"), "its use is not recorded");
+    versions.set_recorded(versions.to_record());
+    assert!(versions.may_begin("s", "v2"));
+    assert_eq!(versions.restricted("s"), None);
+    assert!(reading(&["v2"], &stored(&["v2"])).may_begin("s", "v2"));
+    assert!(!seeing(&["v1"], SECOND).may_begin("s", "v1"), "not read");
+}
+
+/// A vm's streams as stored, if it has recorded its use of the versions of a service.
+fn streams_of(key: &str, begun: &[(&str, &str)], has_recorded: bool) -> (String, StoredStreams) {
+    let versions = reading(&["v1", "v2"], &released());
+    let mut origins = StreamOrigins::new(LIFETIME);
+    for (id, version) in begun {
+        origins.begin(id, origin(version));
+    }
+    let streams = match has_recorded || !begun.is_empty() {
+        true => origins.to_store(&versions, SECOND),
+        false => StoredStreams::default(),
+    };
+    (key.to_owned(), streams)
+}
+
+fn reply(key: &str, begun: &[(&str, &str)], versions: &[&str]) -> StreamReply {
+    let origins = begun.iter();
+    StreamReply {
+        key: key.into(),
+        origins: origins
+            .map(|(id, version)| ((*id).to_owned(), origin(version)))
+            .collect(),
+        versions: stored(versions),
+    }
+}
+
+fn replies(replies: &[StreamReply], missing: usize) -> StreamReplies {
+    StreamReplies {
+        replies: replies.to_vec(),
+        missing,
+    }
+}
+
+/// What is found for the stream `a` by a vm with the key `own`.
+fn found(
+    vms: Vec<(String, StoredStreams)>,
+    replies: &StreamReplies,
+) -> Result<String, OriginUnknown> {
+    let knowledge = StoredKnowledge {
+        versions: released(),
+        vms,
+    };
+    let found = knowledge.origin("s", Some("a"), "own", replies);
+    found.map(|(origin, _)| origin.version.unwrap())
+}
+
+/// Guards against streams that are refused or joined because of what a vm has not recorded.
+#[test]
+fn a_stream_without_a_record_began_at_the_version_that_its_vm_may_have_used() {
+    let none = StreamReplies::default();
+    let old = Ok("v1".to_owned());
+    assert_eq!(found(Vec::new(), &none), old, "no vm has used another one");
+    assert_eq!(found(vec![streams_of("own", &[], true)], &none), old);
+    let user = streams_of("x", &[("b", "v2")], true);
+    let unknown = Err(OriginUnknown::NotRecorded);
+    assert_eq!(found(vec![user.clone()], &none), unknown);
+    let recorded = streams_of("x", &[("a", "v2")], true);
+    assert_eq!(found(vec![recorded], &none), Ok("v2".to_owned()));
+    let denied = replies(&[reply("x", &[], &["v1"])], 1);
+    assert_eq!(found(vec![user.clone()], &denied), old, "x denies it");
+    let confirmed = replies(&[reply("x", &[("a", "v2")], &["v1"])], 0);
+    assert_eq!(found(vec![user.clone()], &confirmed), Ok("v2".to_owned()));
+    let silent = replies(&[reply("y", &[], &["v1"])], 1);
+    let unknown = Err(OriginUnknown::VmSilent);
+    assert_eq!(found(vec![user], &silent), unknown, "x is silent");
+}
+
+/// Guards against records of vms of earlier versions, which do not state what they use, being taken for
+/// those of vms that use nothing.
+#[test]
+fn a_vm_of_an_earlier_version_may_have_used_all_versions() {
+    let earlier = streams_of("x", &[], false);
+    let unknown = Err(OriginUnknown::NotRecorded);
+    assert_eq!(found(vec![earlier], &StreamReplies::default()), unknown);
+    // Such a vm also writes the versions without the one that was the only one before.
+    let knowledge = StoredKnowledge {
+        versions: stored(&["v1", "v2"]),
+        vms: Vec::new(),
+    };
+    let found = knowledge.origin("s", Some("a"), "own", &StreamReplies::default());
+    assert_eq!(found.unwrap_err(), OriginUnknown::NotRecorded);
+}
+
+/// Guards against a vm without the store that takes what it knows itself for what all vms know.
+#[test]
+fn only_all_vms_together_know_the_only_version_without_the_store() {
+    let only = |replies: StreamReplies| replies.confirm_only_version("s", "v1").is_some();
+    assert!(!only(StreamReplies::default()), "no vm was asked");
+    assert!(only(replies(&[reply("x", &[], &["v1"])], 0)));
+    assert!(!only(replies(&[reply("x", &[], &["v1"])], 1)));
+    assert!(!only(replies(&[reply("x", &[], &["v1", "v2"])], 0)));
+}
--- a/crates/core/tests/gateway_waits.rs
+++ b/crates/core/tests/gateway_waits.rs
@@ -71,6 +71,7 @@
 fn a_started_vm_compares_copies_before_it_serves() {
     let mut gate = StartGate::default();
     gate.mark_crashes_queried();
+    gate.mark_versions_queried();
     assert!(!gate.is_open(5, false, SECOND));
     gate.compared_with(VMS[0]);
     assert!(!gate.is_open(5, true, SECOND));
@@ -90,11 +91,13 @@
     assert!(from_store.is_waiting());
     from_store.mark_targets_read();
     from_store.mark_crashes_queried();
+    from_store.mark_versions_queried();
     assert!(!from_store.is_open(90, false, SECOND));
     assert!(from_store.is_open(90, true, SECOND));
     let mut with_one_peer = StartGate::default();
     with_one_peer.compared_with(VMS[0]);
     with_one_peer.mark_crashes_queried();
+    with_one_peer.mark_versions_queried();
     assert!(with_one_peer.is_open(1, true, SECOND));
     let mut unresponsive = StartGate::default();
     assert!(!unresponsive.is_open(5, true, SECOND));
@@ -102,14 +105,16 @@
 }
 
 /// Guards against a vm that sends a request to targets right after all vms have started, before it knows
-/// that the request crashes them.
+/// that the request crashes them, or at which versions streams may begin.
 #[test]
-fn a_started_vm_queries_crash_counts_before_it_serves() {
+fn a_started_vm_queries_crash_counts_and_versions_before_it_serves() {
     let mut from_store = StartGate::default();
     from_store.mark_settings_read();
     from_store.mark_targets_read();
     assert!(!from_store.is_open(0, true, SECOND));
     from_store.mark_crashes_queried();
+    assert!(!from_store.is_open(0, true, SECOND));
+    from_store.mark_versions_queried();
     assert!(from_store.is_open(0, true, SECOND));
     let mut from_peer = StartGate::default();
     from_peer.compared_with(VMS[0]);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -148,7 +148,8 @@
     if let Some(response) = pass_on::answer(context, job, true).await {
         return response;
     }
-    if let Err(refusal) = taken_up::require_version(shared, &*context.store, job).await {
+    let required = taken_up::require_version(shared, &*context.store, context, job).await;
+    if let Err(refusal) = required {
         return refuse(refusal);
     }
     let charged = match quota::charge(shared, context, job).await {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -74,6 +74,8 @@
     pub(crate) expires_at: Instant,
     /// When the answer of a target started to arrive.
     response_began_at: Cell<Option<Instant>>,
+    /// Versions at which the stream may begin, if not at all that exist.
+    first_versions: Option<Vec<String>>,
     /// Software version that began the stream, once it has begun. `None` if it is unknown.
     stream_version: OnceCell<Option<String>>,
     /// Id of the target to which the request was last sent, for the log.
@@ -155,6 +157,10 @@
         return Err(rejected(refusal));
     };
     let service = service.to_owned();
+    let first_versions = match route.kind {
+        RequestKind::Stream => first_versions(shared, &service),
+        RequestKind::Idempotent | RequestKind::Once => None,
+    };
     let longest_wait = shared.admission().longest_wait(
         &route.name,
         route.latency_aim,
@@ -191,6 +197,7 @@
         body,
         allows_chunks: request.version() >= ntex::http::Version::HTTP_11,
         io: request.io().cloned(),
+        first_versions,
         longest_wait,
         arrived_at,
         expires_at,
@@ -202,6 +209,20 @@
     })
 }
 
+/// Versions at which a stream may begin, unless it may at all or no target has one of them: an answer
+/// that cannot be taken up is better than none.
+fn first_versions(shared: &Shared, service: &str) -> Option<Vec<String>> {
+    let allowed = shared.streams().versions.restricted(service)?;
+    let (fleet, now) = (shared.fleet(), shared.now());
+    let mut usable = fleet.catalog.usable(now);
+    let is_served = usable.any(|(_, target)| {
+        target.service == service
+            && target.stage != Some(Stage::Prefill)
+            && RequiredVersion::OneOf(&allowed).allows(target.version.as_deref())
+    });
+    is_served.then_some(allowed)
+}
+
 fn tenant(
     settings: &GatewaySettings,
     route: &HostRoute,
@@ -333,7 +354,10 @@
     pub(crate) fn required_version(&self) -> RequiredVersion<'_> {
         match self.stream_version.get() {
             Some(version) => RequiredVersion::Of(version.as_deref()),
-            None => RequiredVersion::Any,
+            None => match &self.first_versions {
+                Some(versions) => RequiredVersion::OneOf(versions),
+                None => RequiredVersion::Any,
+            },
         }
     }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,7 +3,7 @@
 use jujubebeam_core::gateway::{
     HandOverEnd, MirrorDelta, PackedItem, PermitQuery, PermitReply, PromptEnd,
     PromptPlacementReply, PromptPlacementRequest, QuotaQuery, QuotaReply, RateLimitReport,
-    ReplicaAge, ReturnedQuota, RunCounts, Stage, TargetRun,
+    ReplicaAge, ReturnedQuota, RunCounts, Stage, StreamReply, TargetRun,
 };
 use jujubebeam_core::quarantine::{CrashReport, QuarantineMessage};
 use jujubebeam_core::{Revision, membership};
@@ -96,6 +96,11 @@
     /// Reports crashes under prompt parts, or complete answers of suspected ones. Answered with the
     /// clears that the sender has missed. Earlier versions cannot read it.
     PartCrashes(Vec<QuarantineMessage>),
+    /// Queries all vms for streams by the ids of the attempts that began them. Earlier versions cannot
+    /// read it and answer with an error status.
+    AskStreams(Vec<String>),
+    /// Answers `AskStreams`.
+    Streams(StreamReply),
     /// Queries the home of a workspace for the tokens of a request. Earlier versions cannot read it
     /// and answer with an error status.
     AskQuota(QuotaQuery),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,8 +1,10 @@
 //! Exchange of messages with other vms.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use jujubebeam_core::gateway::{QuotaQuery, QuotaReply, ReturnedQuota, RunCounts};
+use futures_util::future::join_all;
+use jujubebeam_core::gateway::{QuotaQuery, QuotaReply, ReturnedQuota, RunCounts, StreamReplies};
 use jujubebeam_core::membership::{Command, Event};
 use jujubebeam_core::quarantine::QuarantineEvent;
 use jujubebeam_core::{Machine, VmId};
@@ -11,6 +13,7 @@
 use ntex::rt::JoinHandle;
 use ntex::web::types::{Payload, State};
 use ntex::web::{HttpRequest, HttpResponse};
+use tokio::time::timeout;
 
 use crate::adapters::Adapters;
 use crate::answer::Refusal;
@@ -25,6 +28,7 @@
 use crate::replication::{self, ReplicaKind};
 use crate::server::Context;
 use crate::state::wall_clock;
+use crate::taken_up::{self, StreamPeers};
 
 /// Number of usage windows by which the clock of another vm may be ahead of this one.
 const MAX_WINDOWS_AHEAD: u64 = 2;
@@ -32,6 +36,12 @@
 /// Largest body of a message exchange between vms.
 const ENVELOPE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
+/// Most vms that are queried for a stream. The others count as vms that do not reply.
+const MAX_ASKED_VMS: usize = 128;
+
+/// Timeout of a query for a stream, whose caller waits. Zones are at most a few milliseconds apart.
+const STREAMS_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Sends messages to a vm and handles the messages in its reply. This happens whether or not the
 /// returned task is awaited.
 pub(crate) fn send<A: Adapters>(
@@ -274,6 +284,11 @@
                 .collect();
             return (!missed.is_empty()).then_some(Message::PartCrashes(missed));
         }
+        Message::AskStreams(attempts) => {
+            return Some(Message::Streams(taken_up::reply(shared, &attempts)));
+        }
+        // The query timed out at this vm.
+        Message::Streams(_) => {}
         Message::AskQuota(query) => {
             return Some(Message::Quota(quota::answer(shared, from, &query)));
         }
@@ -284,6 +299,34 @@
     None
 }
 
+impl<A: Adapters> StreamPeers for Context<A> {
+    async fn ask_streams(&self, attempts: Vec<String>) -> StreamReplies {
+        let shared = &self.shared;
+        let mut asked: BTreeSet<VmId> = {
+            let membership = shared.membership();
+            let live = membership.live(shared.now());
+            live.into_iter().chain(membership.listed()).collect()
+        };
+        asked.remove(&shared.vm);
+        let unasked = asked.len().saturating_sub(MAX_ASKED_VMS);
+        let replies = asked.into_iter().take(MAX_ASKED_VMS).map(|vm| {
+            let query = vec![Message::AskStreams(attempts.clone())];
+            async move {
+                let exchanged = timeout(STREAMS_TIMEOUT, exchange(self, vm, query)).await;
+                let messages = exchanged.ok().flatten()?;
+                messages.into_iter().find_map(|message| match message {
+                    Message::Streams(reply) => Some(reply),
+                    _ => None,
+                })
+            }
+        });
+        let replies = join_all(replies).await;
+        let missing = unasked + replies.iter().filter(|reply| reply.is_none()).count();
+        let replies = replies.into_iter().flatten().collect();
+        StreamReplies { replies, missing }
+    }
+}
+
 impl<A: Adapters> QuotaPeers for Context<A> {
     fn ask(
         &self,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -183,6 +183,8 @@
     streams: Mutex<Streams>,
     /// Signalled when the versions that this vm sees have changed.
     pub(crate) versions_changed: Notify,
+    /// Signalled when the versions that this vm has to record have changed.
+    pub(crate) versions_named: Notify,
     pub(crate) stream_lookups: StreamLookups,
     reachability: Mutex<Reachability>,
     helpers: Mutex<Helpers>,
@@ -327,6 +329,7 @@
                 origins: StreamOrigins::new(MIN_STREAM_LIFETIME),
             }),
             versions_changed: Notify::new(),
+            versions_named: Notify::new(),
             stream_lookups: StreamLookups::default(),
             reachability: Mutex::default(),
             helpers: Mutex::default(),
@@ -549,6 +552,11 @@
         lock(&self.start_gate).mark_crashes_queried();
     }
 
+    /// Records that the store has answered a query for software versions, or failed to.
+    pub(crate) fn versions_queried(&self) {
+        lock(&self.start_gate).mark_versions_queried();
+    }
+
     pub(crate) fn set_has_targets(&self) {
         self.has_targets.store(true, Ordering::Relaxed);
     }
--- a/crates/gateway/src/stored_streams.rs
+++ b/crates/gateway/src/stored_streams.rs
@@ -1,12 +1,12 @@
 //! Keeps the software versions of the services, and the streams that callers may take up at other
 //! vms, in the store. See [`jujubebeam_core::gateway::StreamOrigins`].
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use jujubebeam_core::Revision;
 use jujubebeam_core::gateway::{
-    SOFTWARE_VERSIONS_KEY, STREAMS_PREFIX, StoredStreams, StoredVersions, StreamOrigin,
+    SOFTWARE_VERSIONS_KEY, STREAMS_PREFIX, StoredKnowledge, StoredStreams, StoredVersions,
+    UsedVersions,
 };
 use jujubebeam_core::store::{Entry, Expected, LeaseId, StoreOp, StoreReply};
 use ntex::time::sleep;
@@ -30,6 +30,13 @@
 /// written.
 const VERSIONS_DELAY_PER_VM: Duration = Duration::from_millis(25);
 
+/// Longest such time. No stream begins at a new version before.
+const MAX_VERSIONS_DELAY: Duration = Duration::from_millis(250);
+
+/// Time by which each vm records the versions that it uses later than the one before it, so that a fleet
+/// writes 400 times a second at most.
+const RECORD_DELAY_PER_VM: Duration = Duration::from_micros(2500);
+
 /// Shortest interval between two writes of one vm's streams.
 const STREAMS_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -44,7 +51,9 @@
 pub(crate) async fn maintain_versions(shared: &Shared, store: &impl StoreApi) {
     let mut pause = RETRY_INITIAL;
     loop {
-        if !update_versions(shared, store).await {
+        let is_updated = update_versions(shared, store).await;
+        shared.versions_queried();
+        if !is_updated {
             sleep(pause).await;
             pause = (pause * 2).min(RETRY_MAX);
             continue;
@@ -54,7 +63,8 @@
         let interval = VERSIONS_INTERVAL + VERSIONS_DELAY_PER_VM.saturating_mul(rank);
         let changed = timeout(interval, shared.versions_changed.notified()).await;
         if changed.is_ok() {
-            sleep(VERSIONS_DELAY_PER_VM.saturating_mul(rank)).await;
+            let delay = VERSIONS_DELAY_PER_VM.saturating_mul(rank);
+            sleep(delay.min(MAX_VERSIONS_DELAY)).await;
         }
     }
 }
@@ -71,7 +81,7 @@
     let Some((entry, stored)) = read_versions(store).await else {
         return false;
     };
-    let wanted = shared.streams().versions.merge(&stored, shared.now());
+    let wanted = merge_versions(shared, &stored);
     let Some(wanted) = wanted else {
         return true;
     };
@@ -89,17 +99,37 @@
     let is_written = matches!(store.perform(op).await, StoreReply::Written { .. });
     if is_written {
         decision!(shared, DecisionKind::SoftwareVersions, versions:? = wanted);
+        if shared.streams().versions.set_named(wanted) {
+            shared.versions_named.notify_one();
+        }
     }
     is_written
 }
 
-/// Reads the stored versions into those of this vm. Returns whether the store replied.
-pub(crate) async fn refresh_versions(shared: &Shared, store: &impl StoreApi) -> bool {
-    let Some((_, stored)) = read_versions(store).await else {
-        return false;
+/// Merges the stored versions into those of this vm. Returns what the store should have instead.
+fn merge_versions(shared: &Shared, stored: &StoredVersions) -> Option<StoredVersions> {
+    let mut streams = shared.streams();
+    let before = streams.versions.to_record();
+    let wanted = streams.versions.merge(stored, shared.now());
+    if before != streams.versions.to_record() {
+        shared.versions_named.notify_one();
+    }
+    wanted
+}
+
+/// Reads the versions, and the streams of all vms if they may have begun at different ones. Returns
+/// `None` if the store does not reply.
+pub(crate) async fn read_knowledge(
+    shared: &Shared,
+    store: &impl StoreApi,
+) -> Option<StoredKnowledge> {
+    let (_, versions) = read_versions(store).await?;
+    merge_versions(shared, &versions);
+    let vms = match versions.is_any_mixed() {
+        true => read_streams(store).await?,
+        false => Vec::new(),
     };
-    shared.streams().versions.merge(&stored, shared.now());
-    true
+    Some(StoredKnowledge { versions, vms })
 }
 
 /// The stored versions with their entry, or `None` if the store does not reply.
@@ -112,14 +142,24 @@
     Some((entry, stored))
 }
 
-/// Reads the streams of all vms. Returns `None` if the store does not reply.
-pub(crate) async fn read_streams(store: &impl StoreApi) -> Option<BTreeMap<String, StreamOrigin>> {
+/// Reads the streams of all vms, with their keys. Returns `None` if the store does not reply.
+async fn read_streams(store: &impl StoreApi) -> Option<Vec<(String, StoredStreams)>> {
     let prefix = STREAMS_PREFIX.to_owned();
     let StoreReply::Values { entries, .. } = store.perform(StoreOp::List { prefix }).await else {
         return None;
     };
-    let stored = entries.iter().filter_map(decode::<StoredStreams>);
-    Some(stored.flat_map(StoredStreams::into_origins).collect())
+    let vms = entries.into_iter().map(|entry| {
+        // A vm whose streams are unreadable may have used any version.
+        let streams = decode(&entry).unwrap_or_default();
+        (entry.key, streams)
+    });
+    Some(vms.collect())
+}
+
+/// Key of this vm's streams.
+pub(crate) fn streams_key(shared: &Shared) -> String {
+    let (name, incarnation) = (&shared.config.vm_name, shared.incarnation);
+    format!("{STREAMS_PREFIX}{name}-{incarnation}")
 }
 
 /// The key of this vm's streams.
@@ -143,7 +183,11 @@
     let mut pause = RETRY_INITIAL;
     loop {
         let vms = u32::try_from(shared.vms()).unwrap_or(u32::MAX);
-        sleep(STREAMS_INTERVAL.max(STREAMS_INTERVAL_PER_VM.saturating_mul(vms))).await;
+        let interval = STREAMS_INTERVAL.max(STREAMS_INTERVAL_PER_VM.saturating_mul(vms));
+        let named = timeout(interval, shared.versions_named.notified()).await;
+        if named.is_ok() {
+            sleep(RECORD_DELAY_PER_VM.saturating_mul(rank_of_vm(shared))).await;
+        }
         match key.update(shared, store).await {
             true => pause = RETRY_INITIAL,
             false => {
@@ -169,6 +213,9 @@
             return true;
         }
         if !self.keep_lease(shared, store, lifetime).await {
+            if self.lease.is_none() {
+                shared.streams().versions.set_recorded(UsedVersions::new());
+            }
             return false;
         }
         if streams == self.streams {
@@ -178,10 +225,7 @@
             return true;
         };
         let op = StoreOp::Cas {
-            key: format!(
-                "{STREAMS_PREFIX}{}-{}",
-                shared.config.vm_name, shared.incarnation
-            ),
+            key: streams_key(shared),
             expected: self.modified.map_or(Expected::Absent, Expected::At),
             value,
             lease: Some(lease.id),
@@ -190,6 +234,8 @@
         match store.perform(op).await {
             StoreReply::Written { revision } => {
                 self.modified = Some(revision);
+                let recorded = streams.all_used();
+                shared.streams().versions.set_recorded(recorded);
                 self.streams = streams;
                 true
             }
@@ -197,10 +243,12 @@
             StoreReply::Conflict { current, .. } => {
                 self.modified = current.map(|entry| entry.modified);
                 self.streams = StoredStreams::default();
+                shared.streams().versions.set_recorded(UsedVersions::new());
                 false
             }
             StoreReply::Expired => {
                 *self = Self::default();
+                shared.streams().versions.set_recorded(UsedVersions::new());
                 false
             }
             _ => false,
--- a/crates/gateway/src/taken_up.rs
+++ b/crates/gateway/src/taken_up.rs
@@ -1,11 +1,16 @@
 //! Streams that callers take up after they broke off: which targets may continue them.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::collections::BTreeSet;
+use std::mem;
+use std::pin::pin;
+use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use jujubebeam_core::gateway::{RequestKind, StreamEnd, StreamOrigin};
-use strum::IntoStaticStr;
+use futures_util::future::{Either, select};
+use jujubebeam_core::gateway::{
+    OriginSource, OriginUnknown, RequestKind, StoredKnowledge, StreamEnd, StreamOrigin,
+    StreamReplies, StreamReply,
+};
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
@@ -15,7 +20,7 @@
 use crate::forward::NO_TARGET_RETRY;
 use crate::job::Job;
 use crate::state::Shared;
-use crate::stored_streams::{read_streams, refresh_versions};
+use crate::stored_streams::{read_knowledge, streams_key};
 
 /// Timeout for reading from the store where a stream began. The store answers within milliseconds, or
 /// some hundred if it is slow.
@@ -24,37 +29,38 @@
 /// Largest share of the caller's remaining time that this takes.
 const LOOKUP_SHARE: f64 = 0.25;
 
-/// Streams that the store had, shared by the requests that arrived before they were read.
+/// Time after which other vms are asked because the store has not replied.
+const STORE_PATIENCE: Duration = Duration::from_millis(60);
+
+/// Other vms, which may have forwarded parts of streams.
+pub(crate) trait StreamPeers {
+    /// Asks all other vms for streams by the ids of the attempts that began them.
+    fn ask_streams(&self, attempts: Vec<String>) -> impl Future<Output = StreamReplies>;
+}
+
+/// What the store had, shared by the requests that arrived before it was read.
 #[derive(Debug, Default)]
-pub(crate) struct StreamLookups(Mutex<Lookup>);
+pub(crate) struct StreamLookups {
+    stored: Mutex<Read>,
+    asked: Mutex<Asked>,
+    /// Streams that the next queries to other vms have to name.
+    waiting: std::sync::Mutex<BTreeSet<String>>,
+}
 
 #[derive(Debug, Default)]
-struct Lookup {
+struct Read {
     /// When the last successful read began.
     began_at: Option<Duration>,
-    origins: BTreeMap<String, StreamOrigin>,
-}
-
-/// How the version that began a stream is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-enum Source {
-    /// This vm has forwarded a part of the stream.
-    OwnStream,
-    /// The store has the stream.
-    Store,
-    /// The service has had a single version for longer than a stream lasts.
-    OnlyVersion,
+    knowledge: Arc<StoredKnowledge>,
 }
 
-/// Why it is not known which version began a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-enum Unknown {
-    /// No vm has recorded the stream.
-    NotRecorded,
-    /// The store does not reply.
-    StoreUnreadable,
+#[derive(Debug, Default)]
+struct Asked {
+    /// When the last queries were sent.
+    began_at: Option<Duration>,
+    /// The streams that they named.
+    attempts: BTreeSet<String>,
+    replies: Arc<StreamReplies>,
 }
 
 /// Records in the job which version may continue the stream that its caller takes up.
@@ -66,12 +72,20 @@
 pub(crate) async fn require_version(
     shared: &Shared,
     store: &impl StoreApi,
+    peers: &impl StreamPeers,
     job: &Job,
 ) -> Result<(), Refusal> {
     let Some(stream) = job.taken_up() else {
         return Ok(());
     };
-    let found = find(shared, store, job, stream).await;
+    let lookup = Lookup {
+        shared,
+        service: &job.service,
+        id: stream.origin.as_deref(),
+        arrived_at: shared.now(),
+    };
+    let time = job.time_left().mul_f64(LOOKUP_SHARE).min(LOOKUP_TIMEOUT);
+    let found = lookup.find(store, peers, time).await;
     let (outcome, refusal) = match &found {
         Ok((origin, _)) if origin.service != job.service => {
             let refusal = Refusal::without_retry(Reason::StreamMoved);
@@ -82,13 +96,14 @@
             ("gone", Some(refusal))
         }
         Ok(_) => ("known", None),
-        Err(Unknown::NotRecorded) => {
+        Err(OriginUnknown::NotRecorded) => {
             let refusal = Refusal::without_retry(Reason::StreamUnknown);
             ("not_recorded", Some(refusal))
         }
-        Err(Unknown::StoreUnreadable) => {
+        // Both may be over soon.
+        Err(unknown @ (OriginUnknown::VmSilent | OriginUnknown::StoreUnreadable)) => {
             let refusal = Refusal::not_run(Reason::StreamUnknown, NO_TARGET_RETRY);
-            ("store_unreadable", Some(refusal))
+            (<&str>::from(*unknown), Some(refusal))
         }
     };
     shared.metrics.taken_up(outcome);
@@ -104,6 +119,7 @@
         version = origin.and_then(|origin| origin.version.as_deref()),
         source,
         outcome,
+        targets_age_ms = millis(shared.targets_age()),
         after_ms = millis(job.arrived_at.elapsed())
     );
     if let Some(refusal) = refusal {
@@ -124,73 +140,128 @@
     })
 }
 
-async fn find(
-    shared: &Shared,
-    store: &impl StoreApi,
-    job: &Job,
-    stream: &TakenUpStream,
-) -> Result<(StreamOrigin, Source), Unknown> {
-    let arrived_at = shared.now();
-    if let Some(id) = &stream.origin
-        && let Some(origin) = shared.streams().origins.origin(id)
-    {
-        return Ok((origin.clone(), Source::OwnStream));
-    }
-    let time = job.time_left().mul_f64(LOOKUP_SHARE).min(LOOKUP_TIMEOUT);
-    let looked_up = shared
-        .stream_lookups
-        .find(shared, store, job, stream, arrived_at);
-    match timeout(time, looked_up).await {
-        Ok(found) => found,
-        Err(_) => Err(Unknown::StoreUnreadable),
-    }
-    .or_else(|unknown| match unknown {
-        // No target can register while the store is down. A vm that is cut off from the store learns of
-        // new targets from other vms.
-        Unknown::StoreUnreadable => only_version(shared, &job.service).ok_or(unknown),
-        Unknown::NotRecorded => Err(unknown),
-    })
-}
-
-/// The only version of a service, as far as this vm knows.
-fn only_version(shared: &Shared, service: &str) -> Option<(StreamOrigin, Source)> {
-    let streams = shared.streams();
-    let version = streams.versions.only_version(service, shared.now())?;
-    let origin = StreamOrigin {
-        service: service.to_owned(),
-        version: Some(version.to_owned()),
-    };
-    Some((origin, Source::OnlyVersion))
+/// A stream whose origin is looked up.
+struct Lookup<'a> {
+    shared: &'a Shared,
+    service: &'a str,
+    /// The attempt that began it, if the caller names it.
+    id: Option<&'a str>,
+    /// What was read or said before the request arrived may lack the stream.
+    arrived_at: Duration,
 }
 
-impl StreamLookups {
+impl Lookup<'_> {
+    /// Asks the store, and the other vms if the store does not know or does not reply.
     async fn find(
         &self,
-        shared: &Shared,
         store: &impl StoreApi,
-        job: &Job,
-        stream: &TakenUpStream,
-        arrived_at: Duration,
-    ) -> Result<(StreamOrigin, Source), Unknown> {
-        let mut lookup = self.0.lock().await;
-        // Another vm may have seen a new version first.
-        if lookup.began_at.is_none_or(|began_at| began_at < arrived_at) {
-            let began_at = shared.now();
-            if !refresh_versions(shared, store).await {
-                return Err(Unknown::StoreUnreadable);
-            }
-            let is_mixed = shared.streams().versions.is_any_mixed(began_at);
-            lookup.origins = match is_mixed {
-                true => read_streams(store).await.ok_or(Unknown::StoreUnreadable)?,
-                false => BTreeMap::new(),
+        peers: &impl StreamPeers,
+        time: Duration,
+    ) -> Result<(StreamOrigin, OriginSource), OriginUnknown> {
+        if let Some(id) = self.id
+            && let Some(origin) = self.shared.streams().origins.origin(id)
+        {
+            return Ok((origin.clone(), OriginSource::OwnStream));
+        }
+        let mut read = pin!(timeout(time, self.read(store)));
+        let Ok(stored) = timeout(STORE_PATIENCE, &mut read).await else {
+            let asked = pin!(self.ask(peers));
+            return match select(asked, read).await {
+                Either::Left((replies, read)) => match self.origin_at_vm(&replies) {
+                    Some(origin) => Ok((origin, OriginSource::Vm)),
+                    None => self.decide(read.await.ok().flatten().as_deref(), &replies),
+                },
+                Either::Right((stored, asked)) => {
+                    let stored = stored.ok().flatten();
+                    match self.decide(stored.as_deref(), &StreamReplies::default()) {
+                        Ok(found) => Ok(found),
+                        Err(_) => self.decide(stored.as_deref(), &*asked.await),
+                    }
+                }
             };
-            lookup.began_at = Some(began_at);
+        };
+        let stored = stored.ok().flatten();
+        match self.decide(stored.as_deref(), &StreamReplies::default()) {
+            Ok(found) => Ok(found),
+            Err(_) => self.decide(stored.as_deref(), &*self.ask(peers).await),
+        }
+    }
+
+    fn origin_at_vm(&self, replies: &StreamReplies) -> Option<StreamOrigin> {
+        replies.origin(self.id?).cloned()
+    }
+
+    fn decide(
+        &self,
+        stored: Option<&StoredKnowledge>,
+        replies: &StreamReplies,
+    ) -> Result<(StreamOrigin, OriginSource), OriginUnknown> {
+        if let Some(stored) = stored {
+            let own_key = streams_key(self.shared);
+            return stored.origin(self.service, self.id, &own_key, replies);
+        }
+        if let Some(origin) = self.origin_at_vm(replies) {
+            return Ok((origin, OriginSource::Vm));
         }
-        let recorded = stream.origin.as_ref().and_then(|id| lookup.origins.get(id));
-        match recorded {
-            Some(origin) => Ok((origin.clone(), Source::Store)),
-            None => only_version(shared, &job.service).ok_or(Unknown::NotRecorded),
+        let (streams, now) = (self.shared.streams(), self.shared.now());
+        let only = streams.versions.only_version(self.service, now);
+        let origin = only.and_then(|only| replies.confirm_only_version(self.service, only));
+        origin
+            .map(|origin| (origin, OriginSource::OnlyVersion))
+            .ok_or(OriginUnknown::StoreUnreadable)
+    }
+
+    /// Reads what the store has, unless it was read after the request arrived.
+    async fn read(&self, store: &impl StoreApi) -> Option<Arc<StoredKnowledge>> {
+        let mut last = self.shared.stream_lookups.stored.lock().await;
+        if last.began_at.is_none_or(|at| at < self.arrived_at) {
+            let began_at = self.shared.now();
+            last.knowledge = Arc::new(read_knowledge(self.shared, store).await?);
+            last.began_at = Some(began_at);
         }
+        Some(last.knowledge.clone())
+    }
+
+    /// Asks the other vms, unless they were asked for this stream after the request arrived.
+    async fn ask(&self, peers: &impl StreamPeers) -> Arc<StreamReplies> {
+        let lookups = &self.shared.stream_lookups;
+        if let Some(id) = self.id {
+            lookups.waiting().insert(id.to_owned());
+        }
+        let mut last = lookups.asked.lock().await;
+        let names_stream = self.id.is_none_or(|id| last.attempts.contains(id));
+        if !names_stream || last.began_at.is_none_or(|at| at < self.arrived_at) {
+            let began_at = self.shared.now();
+            let mut attempts = mem::take(&mut *lookups.waiting());
+            attempts.extend(self.id.map(str::to_owned));
+            let replies = peers.ask_streams(attempts.iter().cloned().collect()).await;
+            *last = Asked {
+                began_at: Some(began_at),
+                attempts,
+                replies: Arc::new(replies),
+            };
+        }
+        last.replies.clone()
+    }
+}
+
+impl StreamLookups {
+    fn waiting(&self) -> MutexGuard<'_, BTreeSet<String>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What this vm says of streams to another one.
+pub(crate) fn reply(shared: &Shared, attempts: &[String]) -> StreamReply {
+    let streams = shared.streams();
+    let known = attempts.iter().filter_map(|id| {
+        let origin = streams.origins.origin(id)?;
+        Some((id.clone(), origin.clone()))
+    });
+    StreamReply {
+        key: streams_key(shared),
+        origins: known.collect(),
+        versions: streams.versions.known(shared.now()),
     }
 }
 
