Ask engines for what they cache instead of checking their health

The trace shows runs without an id: its engines take a health check for a request. Engines are asked for what they cache now, a call that the system makes already; plain services get health checks as before.

--- a/crates/gateway/src/adapters.rs
+++ b/crates/gateway/src/adapters.rs
@@ -196,6 +196,8 @@
     const READINESS_PATH: &'static str;
     /// Path of the query for addresses.
     const ADDRESSES_PATH: &'static str;
+    /// Path of a query that an engine answers without a slot.
+    const ENGINE_QUERY_PATH: &'static str;
     /// Prefix of the keys of settings in the store.
     const SETTINGS_PREFIX: &'static str;
     /// Prefix of the keys of targets in the store.
@@ -207,7 +209,7 @@
     fn is_reserved(name: &str) -> bool;
     /// Headers to add to a request to a target.
     fn outgoing(outgoing: &Outgoing<'_>) -> OutgoingHeaders;
-    /// Headers of a health check of a target.
+    /// Headers of a health check of a target, which also name it in a query of an engine.
     fn health_check(target_id: &str) -> OutgoingHeaders;
     /// Headers to add to a request that is passed on to another vm, which reads them as those of a
     /// caller.
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -132,8 +132,13 @@
 fn health_check<A: Adapters>(shared: &Shared, probed: &Probed) -> Option<Request<Full<Bytes>>> {
     let settings = shared.settings()?;
     let service = settings.services.get(&probed.service)?;
+    // A health check of an engine may wait for a slot.
+    let path = match service.engine {
+        Some(_) => A::Wire::ENGINE_QUERY_PATH,
+        None => &service.health_path,
+    };
     let mut request = Request::new(Full::default());
-    *request.uri_mut() = service.health_path.parse().ok()?;
+    *request.uri_mut() = path.parse().ok()?;
     let headers = request.headers_mut();
     let host = HeaderValue::from_str(&probed.run.address).ok()?;
     headers.insert(header::HOST, host);
