Write open streams to the store every 0.1 s in small fleets

The store accepts 400 writes a second; ten vms write 100 at most, and only while versions are mixed.

--- a/crates/gateway/src/stored_streams.rs
+++ b/crates/gateway/src/stored_streams.rs
@@ -38,7 +38,7 @@
 const RECORD_DELAY_PER_VM: Duration = Duration::from_micros(2500);
 
 /// Shortest interval between two writes of one vm's streams.
-const STREAMS_INTERVAL: Duration = Duration::from_millis(250);
+const STREAMS_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Part of that interval for each vm, so that a fleet writes 100 times a second at most. The store
 /// accepts several hundred writes.
