Let no vm deny streams that it has forgotten

A vm that is asked for a stream and does not know it counts as one that has not begun it. It forgets ended streams beyond 4,096, and records none with an id above 128 bytes, so the stream could have been taken for one of the base. A vm that has forgotten a stream that its caller may still take up sends no key for as long, and a stream whose id is not recorded is one that any vm may have begun.

Test: a_vm_that_has_forgotten_a_stream_does_not_deny_it, and a case in a_stream_without_a_record_began_at_the_version_that_its_vm_may_have_used.

--- a/crates/core/src/gateway/stream_lookup.rs
+++ b/crates/core/src/gateway/stream_lookup.rs
@@ -21,8 +21,8 @@
 /// What another vm says of streams. Their ids were sent after the requests had arrived.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamReply {
-    /// Key of the streams of the vm's run in the store.
-    pub key: String,
+    /// Key of the streams of the vm's run in the store, or `None` if it may have forgotten some.
+    pub key: Option<String>,
     /// The streams of which the vm has forwarded a part.
     pub origins: Vec<(String, StreamOrigin)>,
     /// Versions that may have begun a stream that still goes on.
@@ -86,13 +86,15 @@
     }
 
     fn has_replied(&self, key: &str) -> bool {
-        self.replies.iter().any(|reply| reply.key == key)
+        self.replies
+            .iter()
+            .any(|reply| reply.key.as_deref() == Some(key))
     }
 }
 
 impl StoredKnowledge {
     /// Where a stream began that this vm has not forwarded. `id` is the attempt that began it, if the
-    /// caller names it, and `own_key` the key of this vm's streams. Without `replies`, all other vms may
+    /// caller names it, and `own_key` the key of this vm's streams, if it has forgotten none. Without `replies`, all other vms may
     /// have begun streams that the store does not have.
     ///
     /// # Errors
@@ -102,7 +104,7 @@
         &self,
         service: &str,
         id: Option<&str>,
-        own_key: &str,
+        own_key: Option<&str>,
         replies: &StreamReplies,
     ) -> Result<(StreamOrigin, OriginSource), OriginUnknown> {
         let recorded = id.and_then(|id| self.vms.iter().find_map(|(_, vm)| vm.origin(id)));
@@ -119,10 +121,10 @@
         // A vm without a record has used the base alone. One that does not know the stream has not
         // begun it, if the caller names the stream.
         let base = self.versions.base(service);
-        let others = self
-            .vms
-            .iter()
-            .filter(|(key, _)| id.is_none() || (key != own_key && !replies.has_replied(key)));
+        let others = self.vms.iter().filter(|(key, _)| {
+            let denies = own_key == Some(key) || replies.has_replied(key);
+            id.is_none() || !denies
+        });
         let used = others.flat_map(|(_, vm)| vm.used(service).unwrap_or(versions));
         let mut possible = used.map(String::as_str).chain(base);
         let unknown = match replies.missing > 0 {
--- a/crates/core/src/gateway/stream_origins.rs
+++ b/crates/core/src/gateway/stream_origins.rs
@@ -115,6 +115,8 @@
     streams: HashMap<String, Stream>,
     /// Streams in the order in which they ended. One that goes on is still listed here.
     ended: VecDeque<String>,
+    /// When a stream that its caller may still take up was last forgotten.
+    forgot_at: Option<Duration>,
 }
 
 impl StreamOrigins {
@@ -124,6 +126,7 @@
             stream_lifetime,
             streams: HashMap::new(),
             ended: VecDeque::new(),
+            forgot_at: None,
         }
     }
 
@@ -132,10 +135,15 @@
         self.stream_lifetime = lifetime;
     }
 
+    /// Whether streams that an attempt with this id began are recorded.
+    pub fn is_recordable(id: &str) -> bool {
+        !id.is_empty() && id.len() <= MAX_ID_BYTES
+    }
+
     /// Records that the first events of an answer are forwarded. `id` is the attempt that began the
     /// stream. Returns false if the stream is not recorded, which then has no end either.
     pub fn begin(&mut self, id: &str, origin: StreamOrigin) -> bool {
-        if id.is_empty() || id.len() > MAX_ID_BYTES {
+        if !Self::is_recordable(id) {
             return false;
         }
         let stream = self.streams.entry(id.to_owned()).or_insert(Stream {
@@ -159,6 +167,13 @@
         self.evict_ended(now);
     }
 
+    /// Whether a stream that this vm does not know has not begun at it, or cannot be taken up any more.
+    pub fn is_complete(&self, now: Duration) -> bool {
+        let lifetime = self.stream_lifetime;
+        self.forgot_at
+            .is_none_or(|at| now.saturating_sub(at) >= lifetime)
+    }
+
     /// Where a stream began, if this vm has forwarded a part of it.
     pub fn origin(&self, id: &str) -> Option<&StreamOrigin> {
         self.streams.get(id).map(|stream| &stream.origin)
@@ -201,6 +216,9 @@
             if !is_excess && !is_open && !stream.is_none_or(is_over) {
                 return;
             }
+            if !is_open && stream.is_some_and(|stream| !is_over(stream)) {
+                self.forgot_at = Some(now);
+            }
             if let Some(id) = self.ended.pop_front().filter(|_| !is_open) {
                 self.streams.remove(&id);
             }
--- a/crates/core/tests/gateway_stream_origins.rs
+++ b/crates/core/tests/gateway_stream_origins.rs
@@ -284,7 +284,7 @@
 fn reply(key: &str, begun: &[(&str, &str)], versions: &[&str]) -> StreamReply {
     let origins = begun.iter();
     StreamReply {
-        key: key.into(),
+        key: Some(key.into()),
         origins: origins
             .map(|(id, version)| ((*id).to_owned(), origin(version)))
             .collect(),
@@ -308,7 +308,7 @@
         versions: released(),
         vms,
     };
-    let found = knowledge.origin("s", Some("a"), "own", replies);
+    let found = knowledge.origin("s", Some("a"), Some("own"), replies);
     found.map(|(origin, _)| origin.version.unwrap())
 }
 
@@ -328,11 +328,32 @@
     assert_eq!(found(vec![user.clone()], &denied), old, "x denies it");
     let confirmed = replies(&[reply("x", &[("a", "v2")], &["v1"])], 0);
     assert_eq!(found(vec![user.clone()], &confirmed), Ok("v2".to_owned()));
+    let forgetful = StreamReply {
+        key: None,
+        ..reply("x", &[], &["v1"])
+    };
+    let forgetful = replies(&[forgetful], 0);
+    assert_eq!(found(vec![user.clone()], &forgetful), unknown);
     let silent = replies(&[reply("y", &[], &["v1"])], 1);
     let unknown = Err(OriginUnknown::VmSilent);
     assert_eq!(found(vec![user], &silent), unknown, "x is silent");
 }
 
+/// Guards against a vm that denies a stream which it has forgotten.
+#[test]
+fn a_vm_that_has_forgotten_a_stream_does_not_deny_it() {
+    let mut origins = StreamOrigins::new(LIFETIME);
+    for number in 0..5000 {
+        assert_eq!(origins.is_complete(SECOND), number <= 4096, "{number}");
+        let id = number.to_string();
+        origins.begin(&id, origin("v1"));
+        origins.end(&id, StreamEnd::Complete, SECOND);
+    }
+    let later = SECOND + LIFETIME;
+    origins.evict_ended(later);
+    assert!(origins.is_complete(later), "all have ended long ago");
+}
+
 /// Guards against records of vms of earlier versions, which do not state what they use, being taken for
 /// those of vms that use nothing.
 #[test]
@@ -345,7 +366,7 @@
         versions: stored(&["v1", "v2"]),
         vms: Vec::new(),
     };
-    let found = knowledge.origin("s", Some("a"), "own", &StreamReplies::default());
+    let found = knowledge.origin("s", Some("a"), Some("own"), &StreamReplies::default());
     assert_eq!(found.unwrap_err(), OriginUnknown::NotRecorded);
 }
 
--- a/crates/gateway/src/taken_up.rs
+++ b/crates/gateway/src/taken_up.rs
@@ -9,7 +9,7 @@
 use futures_util::future::{Either, select};
 use jujubebeam_core::gateway::{
     OriginSource, OriginUnknown, RequestKind, StoredKnowledge, StreamEnd, StreamOrigin,
-    StreamReplies, StreamReply,
+    StreamOrigins, StreamReplies, StreamReply,
 };
 use tokio::sync::Mutex;
 use tokio::time::timeout;
@@ -81,7 +81,10 @@
     let lookup = Lookup {
         shared,
         service: &job.service,
-        id: stream.origin.as_deref(),
+        id: stream
+            .origin
+            .as_deref()
+            .filter(|id| StreamOrigins::is_recordable(id)),
         arrived_at: shared.now(),
     };
     let time = job.time_left().mul_f64(LOOKUP_SHARE).min(LOOKUP_TIMEOUT);
@@ -144,7 +147,7 @@
 struct Lookup<'a> {
     shared: &'a Shared,
     service: &'a str,
-    /// The attempt that began it, if the caller names it.
+    /// The attempt that began it, if the caller names it and it is recorded.
     id: Option<&'a str>,
     /// What was read or said before the request arrived may lack the stream.
     arrived_at: Duration,
@@ -197,8 +200,8 @@
         replies: &StreamReplies,
     ) -> Result<(StreamOrigin, OriginSource), OriginUnknown> {
         if let Some(stored) = stored {
-            let own_key = streams_key(self.shared);
-            return stored.origin(self.service, self.id, &own_key, replies);
+            let own_key = complete_key(self.shared);
+            return stored.origin(self.service, self.id, own_key.as_deref(), replies);
         }
         if let Some(origin) = self.origin_at_vm(replies) {
             return Ok((origin, OriginSource::Vm));
@@ -251,15 +254,22 @@
     }
 }
 
+/// Key of this vm's streams, if it has forgotten none.
+fn complete_key(shared: &Shared) -> Option<String> {
+    let is_complete = shared.streams().origins.is_complete(shared.now());
+    is_complete.then(|| streams_key(shared))
+}
+
 /// What this vm says of streams to another one.
 pub(crate) fn reply(shared: &Shared, attempts: &[String]) -> StreamReply {
+    let key = complete_key(shared);
     let streams = shared.streams();
     let known = attempts.iter().filter_map(|id| {
         let origin = streams.origins.origin(id)?;
         Some((id.clone(), origin.clone()))
     });
     StreamReply {
-        key: streams_key(shared),
+        key,
         origins: known.collect(),
         versions: streams.versions.known(shared.now()),
     }
