Name the versions that a vm sees before it judges a stream by the store

Its first stream is taken up right after the start of the vm, before the store has any version. The lookup then found no version at all and refused the stream, so one crash fewer was counted.

A lookup that finds the stored versions behind those that the vm sees writes them first, and decides by what the store has then.

--- a/crates/gateway/src/stored_streams.rs
+++ b/crates/gateway/src/stored_streams.rs
@@ -123,8 +123,13 @@
     shared: &Shared,
     store: &impl StoreApi,
 ) -> Option<StoredKnowledge> {
-    let (_, versions) = read_versions(store).await?;
-    merge_versions(shared, &versions);
+    let (_, mut versions) = read_versions(store).await?;
+    // The store may not have the versions yet that this vm sees.
+    if merge_versions(shared, &versions).is_some() {
+        update_versions(shared, store).await;
+        versions = read_versions(store).await?.1;
+        merge_versions(shared, &versions);
+    }
     let vms = match versions.is_any_mixed() {
         true => read_streams(store).await?,
         false => Vec::new(),
