Conclude nothing from missing records beside vms of an earlier version

Vms state in their entries of the list of vms that they record the versions that they use.

Test: nothing_follows_from_the_lack_of_a_record_beside_vms_of_an_earlier_version. Two constants have plainer names.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -94,7 +94,9 @@
 };
 pub use start_gate::StartGate;
 pub use stored_crashes::{STORED_CRASHES_KEY, StoredCrashes};
-pub use stream_lookup::{OriginSource, OriginUnknown, StoredKnowledge, StreamReplies, StreamReply};
+pub use stream_lookup::{
+    OriginSource, OriginUnknown, StoredKnowledge, StreamQuery, StreamReplies, StreamReply,
+};
 pub use stream_origins::{STREAMS_PREFIX, StoredStreams, StreamEnd, StreamOrigin, StreamOrigins};
 pub use true_time::TrueTime;
 pub use usage_collection::{CollectStep, LostReports, UsageCollection};
--- a/crates/core/src/gateway/crash_evidence.rs
+++ b/crates/core/src/gateway/crash_evidence.rs
@@ -26,7 +26,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time that a target has to answer a probe before its silence counts.
-const PROBE_PATIENCE: Duration = Duration::from_millis(500);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Most probes of a run. Later evidence can only come from its entry.
 const MAX_PROBES: u32 = 10;
@@ -249,7 +249,7 @@
         let compared_at = latest_of_others(answered_at, key);
         let is_compared = |since: Duration| compared_at.is_some_and(|at| at >= since);
         let is_unanswered = self.first_probe_at.is_some_and(|at| {
-            now >= at + PROBE_PATIENCE && (is_compared(at) || state == RunState::Gone)
+            now >= at + PROBE_TIMEOUT && (is_compared(at) || state == RunState::Gone)
         });
         let is_replaced = self.is_replaced || state == RunState::Replaced;
         let mut longest_silence = Duration::ZERO;
--- a/crates/core/src/gateway/software_versions.rs
+++ b/crates/core/src/gateway/software_versions.rs
@@ -103,6 +103,18 @@
     named: StoredVersions,
     /// What this vm has recorded in the store.
     recorded: UsedVersions,
+    fleet: RecordingFleet,
+}
+
+/// Whether the vms of the fleet record the versions that they use.
+#[derive(Clone, Copy, Debug)]
+enum RecordingFleet {
+    /// The list of vms has not been read.
+    Unknown,
+    /// All vms do.
+    All,
+    /// A vm of an earlier version was last listed at this time.
+    NotAll { listed_at: Duration },
 }
 
 impl SoftwareVersions {
@@ -114,6 +126,7 @@
             is_complete: false,
             named: StoredVersions::default(),
             recorded: UsedVersions::new(),
+            fleet: RecordingFleet::Unknown,
         }
     }
 
@@ -144,6 +157,27 @@
             })
     }
 
+    /// Records a reading of the list of vms: whether all of them record the versions that they use.
+    pub fn observe_fleet(&mut self, all_record: bool, now: Duration) {
+        self.fleet = match (all_record, self.fleet) {
+            (false, _) => RecordingFleet::NotAll { listed_at: now },
+            (true, RecordingFleet::Unknown) => RecordingFleet::All,
+            (true, known) => known,
+        };
+    }
+
+    /// Whether each vm that may have begun a stream which still goes on records the versions that it
+    /// uses.
+    pub fn all_vms_record(&self, now: Duration) -> bool {
+        match self.fleet {
+            RecordingFleet::Unknown => false,
+            RecordingFleet::All => true,
+            RecordingFleet::NotAll { listed_at } => {
+                now.saturating_sub(listed_at) >= self.stream_lifetime
+            }
+        }
+    }
+
     /// The versions that this vm has to record before it uses them.
     pub fn to_record(&self) -> UsedVersions {
         let services = self.named.services.iter();
--- a/crates/core/src/gateway/stream_lookup.rs
+++ b/crates/core/src/gateway/stream_lookup.rs
@@ -18,6 +18,20 @@
     pub vms: Vec<(String, StoredStreams)>,
 }
 
+/// A stream whose origin is looked up, and that this vm has not forwarded.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamQuery<'a> {
+    /// Its service.
+    pub service: &'a str,
+    /// The attempt that began it, if the caller names it and it is recorded.
+    pub id: Option<&'a str>,
+    /// Key of the streams of the vm that looks it up, if that has forgotten none.
+    pub own_key: Option<&'a str>,
+    /// Whether all vms record the versions that they use. Otherwise nothing follows from the lack of a
+    /// record.
+    pub all_vms_record: bool,
+}
+
 /// What another vm says of streams. Their ids were sent after the requests had arrived.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamReply {
@@ -93,20 +107,18 @@
 }
 
 impl StoredKnowledge {
-    /// Where a stream began that this vm has not forwarded. `id` is the attempt that began it, if the
-    /// caller names it, and `own_key` the key of this vm's streams, if it has forgotten none. Without `replies`, all other vms may
-    /// have begun streams that the store does not have.
+    /// Where a stream began. Without `replies`, all other vms may have begun streams that the store does
+    /// not have.
     ///
     /// # Errors
     ///
     /// Returns why that is not known.
     pub fn origin(
         &self,
-        service: &str,
-        id: Option<&str>,
-        own_key: Option<&str>,
+        query: &StreamQuery<'_>,
         replies: &StreamReplies,
     ) -> Result<(StreamOrigin, OriginSource), OriginUnknown> {
+        let StreamQuery { service, id, .. } = *query;
         let recorded = id.and_then(|id| self.vms.iter().find_map(|(_, vm)| vm.origin(id)));
         if let Some(origin) = recorded {
             return Ok((origin.clone(), OriginSource::Store));
@@ -121,8 +133,9 @@
         // A vm without a record has used the base alone. One that does not know the stream has not
         // begun it, if the caller names the stream.
         let base = self.versions.base(service);
+        let base = base.filter(|_| query.all_vms_record);
         let others = self.vms.iter().filter(|(key, _)| {
-            let denies = own_key == Some(key) || replies.has_replied(key);
+            let denies = query.own_key == Some(key) || replies.has_replied(key);
             id.is_none() || !denies
         });
         let used = others.flat_map(|(_, vm)| vm.used(service).unwrap_or(versions));
--- a/crates/core/tests/gateway_stream_origins.rs
+++ b/crates/core/tests/gateway_stream_origins.rs
@@ -299,7 +299,15 @@
     }
 }
 
-/// What is found for the stream `a` by a vm with the key `own`.
+/// A lookup of the stream `a` by a vm with the key `own`.
+const QUERY: StreamQuery<'_> = StreamQuery {
+    service: "s",
+    id: Some("a"),
+    own_key: Some("own"),
+    all_vms_record: true,
+};
+
+/// What is found for that stream.
 fn found(
     vms: Vec<(String, StoredStreams)>,
     replies: &StreamReplies,
@@ -308,7 +316,7 @@
         versions: released(),
         vms,
     };
-    let found = knowledge.origin("s", Some("a"), Some("own"), replies);
+    let found = knowledge.origin(&QUERY, replies);
     found.map(|(origin, _)| origin.version.unwrap())
 }
 
@@ -339,6 +347,31 @@
     assert_eq!(found(vec![user], &silent), unknown, "x is silent");
 }
 
+/// Guards against streams that a vm of an earlier version began without a record, and that are taken for
+/// those of the version before.
+#[test]
+fn nothing_follows_from_the_lack_of_a_record_beside_vms_of_an_earlier_version() {
+    let knowledge = StoredKnowledge {
+        versions: released(),
+        vms: Vec::new(),
+    };
+    let query = StreamQuery {
+        all_vms_record: false,
+        ..QUERY
+    };
+    let found = knowledge.origin(&query, &StreamReplies::default());
+    assert_eq!(found.unwrap_err(), OriginUnknown::NotRecorded);
+    let mut versions = seeing(&["v1"], SECOND);
+    assert!(!versions.all_vms_record(SECOND), "the list was not read");
+    versions.observe_fleet(true, SECOND);
+    assert!(versions.all_vms_record(SECOND));
+    versions.observe_fleet(false, SECOND * 2);
+    versions.observe_fleet(true, SECOND * 3);
+    let last = SECOND * 2 + LIFETIME - Duration::from_millis(1);
+    assert!(!versions.all_vms_record(last), "its streams may go on");
+    assert!(versions.all_vms_record(SECOND * 2 + LIFETIME));
+}
+
 /// Guards against a vm that denies a stream which it has forgotten.
 #[test]
 fn a_vm_that_has_forgotten_a_stream_does_not_deny_it() {
@@ -366,7 +399,7 @@
         versions: stored(&["v1", "v2"]),
         vms: Vec::new(),
     };
-    let found = knowledge.origin("s", Some("a"), Some("own"), &StreamReplies::default());
+    let found = knowledge.origin(&QUERY, &StreamReplies::default());
     assert_eq!(found.unwrap_err(), OriginUnknown::NotRecorded);
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -51,6 +51,9 @@
     capacity_millicores: u32,
     caller_address: String,
     peer_address: String,
+    /// Whether the vm records the software versions that it uses. Earlier versions do not.
+    #[serde(default)]
+    records_versions: bool,
 }
 
 /// Starts all control tasks on the calling thread.
@@ -161,15 +164,20 @@
         lease = keep_registered(context, lease).await;
         let prefix = VMS_PREFIX.to_owned();
         if let StoreReply::Values { entries, .. } = context.store.list_stale(&prefix).await {
-            let records: Vec<_> = entries.iter().filter_map(|e| record(&e.value)).collect();
+            let listed = entries.iter();
+            let listed = listed.filter_map(|entry| serde_json::from_slice(&entry.value).ok());
+            let listed: Vec<VmEntry> = listed.collect();
+            let all_record = listed.iter().all(|vm| vm.records_versions);
+            let (shared, now) = (&context.shared, context.shared.now());
+            shared.streams().versions.observe_fleet(all_record, now);
+            let records: Vec<_> = listed.into_iter().filter_map(record).collect();
             peers::feed_membership(context, Event::Listed(records));
         }
         sleep(VM_LIST_INTERVAL).await;
     }
 }
 
-fn record(value: &[u8]) -> Option<Record> {
-    let listed: VmEntry = serde_json::from_slice(value).ok()?;
+fn record(listed: VmEntry) -> Option<Record> {
     let peer_address = host_address(&listed.peer_address)?;
     // Callers are sent to this address.
     host_address(&listed.caller_address)?;
@@ -214,6 +222,7 @@
         capacity_millicores: config.capacity_millicores(),
         caller_address: config.listen.callers.to_string(),
         peer_address: config.listen.peers.to_string(),
+        records_versions: true,
     };
     // Serialization of plain strings does not fail.
     let value = serde_json::to_vec(&listed).unwrap_or_default();
--- a/crates/gateway/src/taken_up.rs
+++ b/crates/gateway/src/taken_up.rs
@@ -9,7 +9,7 @@
 use futures_util::future::{Either, select};
 use jujubebeam_core::gateway::{
     OriginSource, OriginUnknown, RequestKind, StoredKnowledge, StreamEnd, StreamOrigin,
-    StreamOrigins, StreamReplies, StreamReply,
+    StreamOrigins, StreamQuery, StreamReplies, StreamReply,
 };
 use tokio::sync::Mutex;
 use tokio::time::timeout;
@@ -30,7 +30,7 @@
 const LOOKUP_SHARE: f64 = 0.25;
 
 /// Time after which other vms are asked because the store has not replied.
-const STORE_PATIENCE: Duration = Duration::from_millis(60);
+const STORE_TIME_BEFORE_ASKING: Duration = Duration::from_millis(60);
 
 /// Other vms, which may have forwarded parts of streams.
 pub(crate) trait StreamPeers {
@@ -167,7 +167,7 @@
             return Ok((origin.clone(), OriginSource::OwnStream));
         }
         let mut read = pin!(timeout(time, self.read(store)));
-        let Ok(stored) = timeout(STORE_PATIENCE, &mut read).await else {
+        let Ok(stored) = timeout(STORE_TIME_BEFORE_ASKING, &mut read).await else {
             let asked = pin!(self.ask(peers));
             return match select(asked, read).await {
                 Either::Left((replies, read)) => match self.origin_at_vm(&replies) {
@@ -201,7 +201,14 @@
     ) -> Result<(StreamOrigin, OriginSource), OriginUnknown> {
         if let Some(stored) = stored {
             let own_key = complete_key(self.shared);
-            return stored.origin(self.service, self.id, own_key.as_deref(), replies);
+            let now = self.shared.now();
+            let query = StreamQuery {
+                service: self.service,
+                id: self.id,
+                own_key: own_key.as_deref(),
+                all_vms_record: self.shared.streams().versions.all_vms_record(now),
+            };
+            return stored.origin(&query, replies);
         }
         if let Some(origin) = self.origin_at_vm(replies) {
             return Ok((origin, OriginSource::Vm));
