Log how requests were admitted, and what became of streams that were taken up

The log could not tell whether a stream that its caller took up was refused because of its version or because of the wait, nor whether the admission had inferred a retry: 'ended' named neither. Lookups were counted, but not what followed.

'ended' and 'placed' now have the class of the admission; 'ended', 'answered' and 'caller_left' the attempt that began the stream; 'ended' also the deadline and the number of targets that may run the request. The counter jujubebeam_taken_up_streams_ended_total{outcome} has the ends.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -40,7 +40,7 @@
 mod usage_collection;
 mod usage_window;
 
-pub use admission::Admission;
+pub use admission::{Admission, AdmissionClass};
 pub use answer_check::{AnswerClaim, AnswerVerdict, check_answer, contains_status_line};
 pub use budget::{ArrivalBudget, ArrivalBudgetConfig};
 pub use caller_memory::{
--- a/crates/core/src/gateway/admission.rs
+++ b/crates/core/src/gateway/admission.rs
@@ -7,6 +7,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use strum::IntoStaticStr;
+
 /// Maximum wait of a new request, as a share of the route's latency aim. The remainder covers the
 /// network delay to the caller and the error of the prediction.
 const NEW_REQUEST_RATIO: f64 = 0.7;
@@ -19,6 +21,31 @@
 /// more.
 const RETRY_DETECTION_RATIO: f64 = 0.2;
 
+/// Kind of a request for its admission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum AdmissionClass {
+    /// First attempt of a caller.
+    New,
+    /// The caller was refused or failed before, so the route's latency aim has passed.
+    Retry,
+}
+
+impl AdmissionClass {
+    /// Maximum wait at a target for a request on a route with this latency aim, whose caller waits for
+    /// another `left`.
+    pub fn longest_wait(self, aim: Duration, left: Duration) -> Duration {
+        if aim.is_zero() {
+            return left;
+        }
+        let ratio = match self {
+            Self::New => NEW_REQUEST_RATIO,
+            Self::Retry => RETRY_RATIO,
+        };
+        aim.mul_f64(ratio).min(left)
+    }
+}
+
 /// Deadlines of the callers of each route.
 #[derive(Debug, Default)]
 pub struct Admission {
@@ -27,23 +54,12 @@
 }
 
 impl Admission {
-    /// Maximum wait at a target for a request whose caller waits for another `deadline`.
-    pub fn longest_wait(
-        &mut self,
-        route: &str,
-        aim: Duration,
-        deadline: Option<Duration>,
-        left: Duration,
-    ) -> Duration {
-        if aim.is_zero() {
-            return left;
+    /// Class of a request whose caller waits for another `deadline`.
+    pub fn classify(&mut self, route: &str, deadline: Option<Duration>) -> AdmissionClass {
+        match deadline.is_some_and(|d| self.is_retry(route, d)) {
+            true => AdmissionClass::Retry,
+            false => AdmissionClass::New,
         }
-        let is_retry = deadline.is_some_and(|d| self.is_retry(route, d));
-        let ratio = match is_retry {
-            true => RETRY_RATIO,
-            false => NEW_REQUEST_RATIO,
-        };
-        aim.mul_f64(ratio).min(left)
     }
 
     /// Whether the request is a retry, which is inferred from its shorter deadline.
--- a/crates/core/tests/gateway_decisions.rs
+++ b/crates/core/tests/gateway_decisions.rs
@@ -474,7 +474,9 @@
     let mut admission = Admission::default();
     let mut wait = |deadline_ms| {
         let deadline = Some(ms(deadline_ms));
-        admission.longest_wait("r", ms(100), deadline, ms(deadline_ms))
+        admission
+            .classify("r", deadline)
+            .longest_wait(ms(100), ms(deadline_ms))
     };
     let new = wait(2000);
     let retry = wait(1400);
--- a/crates/core/tests/support_burst/mod.rs
+++ b/crates/core/tests/support_burst/mod.rs
@@ -457,7 +457,8 @@
             self.outcome.requests += 1;
         }
         let left = self.left(i);
-        let longest = self.admissions[caller.vm].longest_wait("r", scenario.aim, Some(left), left);
+        let class = self.admissions[caller.vm].classify("r", Some(left));
+        let longest = class.longest_wait(scenario.aim, left);
         let parts = caller.parts(&scenario.prompts);
         let request = scenario.request(&parts, longest, left);
         if scenario.uses_owner {
@@ -492,7 +493,8 @@
         let caller = self.callers[i].clone();
         let parts = caller.parts(&scenario.prompts);
         let left = self.left(i);
-        let longest = self.admissions[caller.vm].longest_wait("r", scenario.aim, Some(left), left);
+        let class = self.admissions[caller.vm].classify("r", Some(left));
+        let longest = class.longest_wait(scenario.aim, left);
         self.next += 1;
         let id = PromptRequestId {
             vm: VmId(caller.vm as u32),
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -99,6 +99,8 @@
     pub(crate) longest_wait: Option<Duration>,
     /// Targets that were skipped because they are leaving or backing off.
     pub(crate) omitted_targets: OmittedTargets,
+    /// Targets that may run the request, if none of them could take it.
+    pub(crate) usable_targets: Option<usize>,
 }
 
 impl Refusal {
@@ -111,6 +113,7 @@
             wait: None,
             longest_wait: None,
             omitted_targets: OmittedTargets::default(),
+            usable_targets: None,
         }
     }
 
@@ -147,6 +150,7 @@
             wait: None,
             longest_wait: None,
             omitted_targets: OmittedTargets::default(),
+            usable_targets: None,
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -27,7 +27,9 @@
 use crate::permit;
 use crate::prompt::{self, Prompt};
 use crate::quota;
-use crate::request_log::{record_failed_attempt, record_placement, record_refusal};
+use crate::request_log::{
+    record_failed_attempt, record_placement, record_refusal, record_rejection, record_taken_up_end,
+};
 use crate::server::Context;
 use crate::state::{Fleet, Shared};
 use crate::stream::{self, EarlierAttempts};
@@ -59,7 +61,7 @@
     let mut response = match accepted {
         Ok(job) => run(&context, Rc::new(job)).await,
         Err((attempt_id, refusal)) => {
-            record_refusal(&context.shared, &attempt_id, "-", &refusal, Duration::ZERO);
+            record_rejection(&context.shared, &attempt_id, &refusal);
             refusal.response()
         }
     };
@@ -91,13 +93,7 @@
                 "no answer in time",
             );
             let refusal = Refusal::from_final(FinalAnswer::TimedOut);
-            record_refusal(
-                shared,
-                &job.incoming.attempt_id,
-                &job.route().name,
-                &refusal,
-                job.arrived_at.elapsed(),
-            );
+            record_refusal(shared, &job, &refusal);
             refusal.response()
         }
     };
@@ -118,6 +114,7 @@
             let (id, age) = (&self.job.incoming.attempt_id, self.job.arrived_at.elapsed());
             let kind = self.job.route().kind.into();
             self.shared.metrics.ended(kind, "caller_left", age);
+            record_taken_up_end(&self.shared, &self.job, "caller_left");
             let target = self.job.current_target.borrow();
             decision!(
                 self.shared,
@@ -125,6 +122,7 @@
                 request = id,
                 target:% = target,
                 midway = false,
+                origin = self.job.stream_origin(),
                 after_ms = millis(age)
             );
         }
@@ -140,9 +138,7 @@
     let mut prompt = Prompt::NotComputed;
     let mut reserved = None;
     let refuse = |refusal: Refusal| {
-        let id = &job.incoming.attempt_id;
-        let age = job.arrived_at.elapsed();
-        record_refusal(shared, id, &job.route().name, &refusal, age);
+        record_refusal(shared, job, &refusal);
         refusal.response()
     };
     if let Some(response) = pass_on::answer(context, job, true).await {
@@ -516,11 +512,15 @@
 }
 
 fn placement_refusal(shared: &Shared, refused: PlacementRefused, job: &Job) -> Refusal {
-    let omitted_targets = {
+    let (omitted_targets, usable_targets) = {
         let (fleet, now) = (shared.fleet(), shared.now());
-        fleet
-            .placer
-            .omitted_targets(&fleet.catalog, &job.service, now)
+        let (catalog, placer) = (&fleet.catalog, &fleet.placer);
+        let usable = catalog.usable(now).filter(|(_, target)| {
+            let is_eligible = target.service == job.service && target.stage == job.stage();
+            is_eligible && job.required_version().allows(target.version.as_deref())
+        });
+        let omitted = placer.omitted_targets(catalog, &job.service, now);
+        (omitted, usable.count())
     };
     let refusal = match refused {
         PlacementRefused::NoTarget => Refusal::not_run(Reason::NoTarget, NO_TARGET_RETRY),
@@ -538,6 +538,7 @@
     };
     Refusal {
         omitted_targets,
+        usable_targets: Some(usable_targets),
         ..refusal
     }
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -11,9 +11,9 @@
 use http_body_util::Full;
 use jujubebeam_core::VmId;
 use jujubebeam_core::gateway::{
-    EngineLimits, GatewaySettings, HostRoute, IdentifyingFields, Placement, PlacementRequest,
-    PromptPart, Repeatability, RequestIdentity, RequestKind, RequiredVersion, Stage, TargetKey,
-    WorkspaceQuota,
+    AdmissionClass, EngineLimits, GatewaySettings, HostRoute, IdentifyingFields, Placement,
+    PlacementRequest, PromptPart, Repeatability, RequestIdentity, RequestKind, RequiredVersion,
+    Stage, TargetKey, WorkspaceQuota,
 };
 use ntex::http::StatusCode;
 use ntex::io::{IoRef, OnDisconnect};
@@ -68,6 +68,7 @@
     /// The caller's connection.
     io: Option<IoRef>,
     pub(crate) arrived_at: Instant,
+    pub(crate) admission_class: AdmissionClass,
     /// Longest predicted wait at a target at which the request is still sent.
     pub(crate) longest_wait: Duration,
     /// When the request times out.
@@ -161,12 +162,9 @@
         RequestKind::Stream => first_versions(shared, &service),
         RequestKind::Idempotent | RequestKind::Once => None,
     };
-    let longest_wait = shared.admission().longest_wait(
-        &route.name,
-        route.latency_aim,
-        incoming.deadline,
-        expires_at.saturating_duration_since(Instant::now()),
-    );
+    let admission_class = shared.admission().classify(&route.name, incoming.deadline);
+    let time_left = expires_at.saturating_duration_since(Instant::now());
+    let longest_wait = admission_class.longest_wait(route.latency_aim, time_left);
     let route = settings
         .routes
         .iter()
@@ -198,6 +196,7 @@
         allows_chunks: request.version() >= ntex::http::Version::HTTP_11,
         io: request.io().cloned(),
         first_versions,
+        admission_class,
         longest_wait,
         arrived_at,
         expires_at,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,7 @@
     refreshes: IntCounterVec,
     quotas: IntCounterVec,
     taken_up: IntCounterVec,
+    taken_up_ended: IntCounterVec,
     passed_on: IntCounterVec,
     link_tests: IntCounterVec,
     hand_overs: IntCounterVec,
@@ -120,6 +121,11 @@
             "Streams that callers took up, by whether the version that began them is known",
             &["outcome"],
         );
+        let taken_up_ended = counter(
+            "jujubebeam_taken_up_streams_ended_total",
+            "Streams that callers took up, by how the request ended",
+            &["outcome"],
+        );
         let passed_on = counter(
             "jujubebeam_passed_on_total",
             "Attempts to pass a request on to another vm, by outcome",
@@ -200,6 +206,7 @@
             refreshes,
             quotas,
             taken_up,
+            taken_up_ended,
             passed_on,
             link_tests,
             hand_overs,
@@ -266,6 +273,11 @@
         self.taken_up.with_label_values(&[outcome]).inc();
     }
 
+    /// Records how a request ended with which a caller took a stream up.
+    pub(crate) fn taken_up_ended(&self, outcome: &'static str) {
+        self.taken_up_ended.with_label_values(&[outcome]).inc();
+    }
+
     /// Records how long work takes at a target, if it states that.
     pub(crate) fn reported_load(&self, report: Option<LoadReport>) {
         if let Some(percent) = report.and_then(|report| report.work_percent) {
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -110,9 +110,7 @@
     }
     let unreachable = || {
         let refusal = Refusal::not_run(Reason::TargetsUnreachable, NO_TARGET_RETRY);
-        let age = job.arrived_at.elapsed();
-        let id = &job.incoming.attempt_id;
-        record_refusal(shared, id, &job.route().name, &refusal, age);
+        record_refusal(shared, job, &refusal);
         refusal.response()
     };
     let may_send = has_not_run || job.repeatability() == Repeatability::Idempotent;
@@ -137,9 +135,7 @@
 
 fn failed(shared: &Shared, job: &Job) -> HttpResponse {
     let refusal = Refusal::from_final(FinalAnswer::Failed);
-    let age = job.arrived_at.elapsed();
-    let id = &job.incoming.attempt_id;
-    record_refusal(shared, id, &job.route().name, &refusal, age);
+    record_refusal(shared, job, &refusal);
     refusal.response()
 }
 
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -24,6 +24,7 @@
         "server_error"
     };
     shared.metrics.ended(kind, class, job.arrived_at.elapsed());
+    record_taken_up_end(shared, job, class);
     let target = job.current_target.borrow();
     decision!(
         shared,
@@ -33,27 +34,51 @@
         target:% = target,
         settings_version = job.settings.version,
         status,
+        origin = job.stream_origin(),
         first_ms = job.time_to_response().map(millis),
         longest_pause_ms = longest_pause.map(millis),
         after_ms = millis(job.arrived_at.elapsed())
     );
 }
 
-/// Records a request that the gateway answered itself.
-pub(crate) fn record_refusal(
-    shared: &Shared,
-    id: &str,
-    route: &str,
-    refusal: &Refusal,
-    age: Duration,
-) {
+/// Records a request that was refused before it was accepted.
+pub(crate) fn record_rejection(shared: &Shared, id: &str, refusal: &Refusal) {
+    let age = Duration::ZERO;
     shared.metrics.ended("any", refusal.reason.into(), age);
     decision!(
         shared,
         DecisionKind::Ended,
         request = id,
-        route,
+        route = "-",
+        reason:% = refusal.reason,
+        status = refusal.status.as_u16(),
+        retry_after_ms = refusal.retry_after.map(millis),
+        after_ms = millis(age)
+    );
+}
+
+/// Counts how a request ended, if its caller took a stream up.
+pub(crate) fn record_taken_up_end(shared: &Shared, job: &Job, outcome: &'static str) {
+    if job.taken_up().is_some() {
+        shared.metrics.taken_up_ended(outcome);
+    }
+}
+
+/// Records a request that the gateway answered itself.
+pub(crate) fn record_refusal(shared: &Shared, job: &Job, refusal: &Refusal) {
+    let age = job.arrived_at.elapsed();
+    shared.metrics.ended("any", refusal.reason.into(), age);
+    record_taken_up_end(shared, job, refusal.reason.into());
+    decision!(
+        shared,
+        DecisionKind::Ended,
+        request = job.incoming.attempt_id.as_str(),
+        route = job.route().name.as_str(),
         reason:% = refusal.reason,
+        admission = <&str>::from(job.admission_class),
+        origin = job.stream_origin(),
+        usable_targets = refusal.usable_targets,
+        deadline_ms = job.incoming.deadline.map(millis),
         status = refusal.status.as_u16(),
         retry_after_ms = refusal.retry_after.map(millis),
         wait_ms = refusal.wait.map(millis),
@@ -101,12 +126,9 @@
         target = placement.target.id.as_str(),
         version = placement.target.version.as_deref(),
         placed_by:% = placed_by,
+        admission = <&str>::from(job.admission_class),
         taken_up = job.incoming.taken_up.is_some(),
-        origin = job
-            .incoming
-            .taken_up
-            .as_ref()
-            .and_then(|t| t.origin.as_deref()),
+        origin = job.stream_origin(),
         uncached_tokens = placement.uncached_tokens,
         is_copied = placement.copied_from.is_some(),
         predicted_ms = placement.predicted_ms.round() as u64,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -33,7 +33,7 @@
 use crate::forward;
 use crate::in_flight::InFlight;
 use crate::job::Job;
-use crate::request_log::{record_answer, record_failed_attempt};
+use crate::request_log::{record_answer, record_failed_attempt, record_taken_up_end};
 use crate::server::{Context, RunningGuard};
 use crate::taken_up::RecordedStream;
 use hedge::Hedged;
@@ -250,12 +250,14 @@
     fn drop(&mut self) {
         if !self.is_done {
             let shared = &self.context.shared;
+            record_taken_up_end(shared, &self.job, "caller_left");
             decision!(
                 shared,
                 DecisionKind::CallerLeft,
                 request = self.job.incoming.attempt_id.as_str(),
                 target:% = self.job.current_target.borrow(),
                 midway = true,
+                origin = self.job.stream_origin(),
                 silent_ms = millis(self.last_event_at.elapsed()),
                 after_ms = millis(self.job.arrived_at.elapsed())
             );
@@ -619,6 +621,7 @@
         self.is_done = true;
         self.source = None;
         let shared = &self.context.shared;
+        record_taken_up_end(shared, &self.job, "cut_off");
         decision!(
             shared,
             DecisionKind::CutOff,
--- a/crates/gateway/src/taken_up.rs
+++ b/crates/gateway/src/taken_up.rs
@@ -325,8 +325,13 @@
 
 impl Job {
     /// The stream that the caller takes up. Other requests do not go on.
-    fn taken_up(&self) -> Option<&TakenUpStream> {
+    pub(crate) fn taken_up(&self) -> Option<&TakenUpStream> {
         let is_stream = self.route().kind == RequestKind::Stream;
         self.incoming.taken_up.as_ref().filter(|_| is_stream)
     }
+
+    /// The attempt that began the stream that the caller takes up, if it names one.
+    pub(crate) fn stream_origin(&self) -> Option<&str> {
+        self.taken_up()?.origin.as_deref()
+    }
 }
--- a/crates/gateway/src/where_placed.rs
+++ b/crates/gateway/src/where_placed.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use jujubebeam_core::gateway::{
-    EnginePlan, OmittedTarget, PlacementExplanation, PlacementRefused, PlacementRequest,
-    PromptPart, RequiredVersion, Stage, TargetEstimate, owner_of,
+    AdmissionClass, EnginePlan, OmittedTarget, PlacementExplanation, PlacementRefused,
+    PlacementRequest, PromptPart, RequiredVersion, Stage, TargetEstimate, owner_of,
 };
 use ntex::web::types::{Query, State};
 use ntex::web::{HttpRequest, HttpResponse};
@@ -222,11 +222,7 @@
         Duration::ZERO => DEFAULT_TIMEOUT,
         timeout => timeout,
     };
-    // Without a deadline, the admission records nothing.
-    let longest_wait =
-        shared
-            .admission()
-            .longest_wait(&route.name, route.latency_aim, None, time_left);
+    let longest_wait = AdmissionClass::New.longest_wait(route.latency_aim, time_left);
     answer.longest_wait_ms = longest_wait.as_millis() as u64;
     let is_engine = settings
         .services
