Let the remainder of a stream wait for as long as its caller does

Cause: the admission inferred a retry from the shorter deadline, and gives a retry 0.3 of the aim for the first event, new requests 0.7. A stream that is taken up has a shorter deadline by nature, so it was served after all new requests, although its caller has a part of the answer and waits 2 s for the next event. Continuations within an answer were held to the wait of new requests; permits of targets with a limit, and Retry-After, also took a stream that is taken up for a new request.

Ruled out: the lookup of the version.

Now the header that takes a stream up decides. A continuation may wait for a quarter of the time after which its caller leaves, and half of its time.

--- a/crates/core/src/gateway/admission.rs
+++ b/crates/core/src/gateway/admission.rs
@@ -1,8 +1,12 @@
-//! Maximum wait of a request at a target, depending on whether its caller is retrying.
+//! Maximum wait of a request at a target, depending on what its caller has of the answer.
 //!
 //! During a burst, the targets cannot answer all requests in time. Answering new requests in time,
 //! and retries only where there is spare capacity, serves more callers in time than answering all
 //! in the order of their first attempt, which makes every answer late.
+//!
+//! A caller that has the first part of a stream is neither: its latency aim says nothing about the
+//! remainder, and without it the first part was in vain. The remainder may wait for as long as its
+//! caller does. See `docs/incidents/refused-continuations.md`.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -16,6 +20,13 @@
 /// Maximum wait of a retry, whose latency aim has passed, as a share of the latency aim.
 const RETRY_RATIO: f64 = 0.3;
 
+/// Maximum wait of the remainder of a stream, as a share of the time after which its caller leaves.
+/// What is left covers the work itself and the error of the prediction.
+const CONTINUATION_IDLE_RATIO: f64 = 0.25;
+
+/// Maximum wait of the remainder of a stream, as a share of the time that is left for all of it.
+const CONTINUATION_TIME_RATIO: f64 = 0.5;
+
 /// A deadline that is shorter than the longest on its route by this share indicates a retry.
 /// Deadlines of first attempts differ by up to 0.15, and a refused caller retries after 0.2 or
 /// more.
@@ -29,20 +40,26 @@
     New,
     /// The caller was refused or failed before, so the route's latency aim has passed.
     Retry,
+    /// The caller has the first part of a stream and waits for the remainder.
+    Continuation {
+        /// Time without an event after which the caller leaves.
+        idle_timeout: Duration,
+    },
 }
 
 impl AdmissionClass {
     /// Maximum wait at a target for a request on a route with this latency aim, whose caller waits for
     /// another `left`.
     pub fn longest_wait(self, aim: Duration, left: Duration) -> Duration {
-        if aim.is_zero() {
-            return left;
+        match self {
+            Self::Continuation { idle_timeout } => {
+                let longest = idle_timeout.mul_f64(CONTINUATION_IDLE_RATIO);
+                longest.min(left.mul_f64(CONTINUATION_TIME_RATIO))
+            }
+            Self::New | Self::Retry if aim.is_zero() => left,
+            Self::New => aim.mul_f64(NEW_REQUEST_RATIO).min(left),
+            Self::Retry => aim.mul_f64(RETRY_RATIO).min(left),
         }
-        let ratio = match self {
-            Self::New => NEW_REQUEST_RATIO,
-            Self::Retry => RETRY_RATIO,
-        };
-        aim.mul_f64(ratio).min(left)
     }
 }
 
--- a/crates/core/tests/gateway_decisions.rs
+++ b/crates/core/tests/gateway_decisions.rs
@@ -484,6 +484,20 @@
     assert_eq!(wait(2000), new);
 }
 
+/// Guards against remainders of streams that are refused as retries because their deadline is shorter.
+#[test]
+fn the_remainder_of_a_stream_waits_longer_than_a_new_request() {
+    let idle_timeout = Duration::from_secs(2);
+    let remainder = AdmissionClass::Continuation { idle_timeout };
+    for aim_ms in [0, 100, 500] {
+        assert_eq!(remainder.longest_wait(ms(aim_ms), ms(1400)), ms(500));
+    }
+    let new = AdmissionClass::New.longest_wait(ms(500), ms(2000));
+    assert!(new < ms(500));
+    // The work itself needs a part of the time that is left.
+    assert_eq!(remainder.longest_wait(ms(500), ms(300)), ms(150));
+}
+
 /// Guards against a fleet whose prompts wait while its decode engines are idle, and against orders
 /// for an imbalance that does not justify the seconds that a change costs.
 #[test]
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -347,7 +347,7 @@
             }
             _ => return Ok(plan),
         };
-        if acquire_permit(context, job, key, false).await {
+        if acquire_permit(context, job, key, job.is_continuation()).await {
             *reserved = Some(key);
             return Ok(plan);
         }
@@ -455,16 +455,11 @@
         placer.place_at(catalog, &request, key, now)
     });
     if let Some(placement) = placed {
-        record_placement(
-            shared,
-            job,
-            work_name(job, parts, false),
-            &placement,
-            shared.vm,
-        );
+        record_placement(shared, job, work_name(job, parts), &placement, shared.vm);
         return Ok(InFlight::new(shared, placement));
     }
-    place(context, job, &request, false).await
+    let work = work_name(job, parts);
+    place(context, job, &request, work, job.is_continuation()).await
 }
 
 /// Chooses a target for the next attempt.
@@ -472,12 +467,12 @@
     context: &Context<A>,
     job: &Job,
     request: &PlacementRequest<'_>,
+    work: &str,
     is_continuation: bool,
 ) -> Result<InFlight, Refusal> {
     let shared = &context.shared;
     let placed = place_permitted(context, job, request, is_continuation).await;
     let in_flight = placed.map_err(|refused| placement_refusal(shared, refused, job))?;
-    let work = work_name(job, request.parts, is_continuation);
     record_placement(shared, job, work, &in_flight.placement, shared.vm);
     Ok(in_flight)
 }
@@ -496,15 +491,15 @@
     excluded: &[TargetKey],
 ) -> Result<InFlight, Refusal> {
     let zone = &context.shared.config.zone;
-    let request = job.placement_request(zone, &job.incoming.prompt_parts, excluded);
-    place(context, job, &request, true).await
+    let request = PlacementRequest {
+        longest_wait: job.longest_continuation_wait(&context.shared),
+        ..job.placement_request(zone, &job.incoming.prompt_parts, excluded)
+    };
+    place(context, job, &request, "continuation", true).await
 }
 
 /// Name of the work of a placement, for the log.
-fn work_name(job: &Job, parts: &[PromptPart], is_continuation: bool) -> &'static str {
-    if is_continuation {
-        return "continuation";
-    }
+fn work_name(job: &Job, parts: &[PromptPart]) -> &'static str {
     match job.stage().is_some() && parts.is_empty() {
         true => "answer",
         false => "whole",
@@ -530,11 +525,18 @@
         PlacementRefused::Limited { retry_after } => {
             Refusal::not_run(Reason::TargetsLimited, retry_after)
         }
-        PlacementRefused::Overloaded { retry_after, wait } => Refusal {
-            wait: Some(wait),
-            longest_wait: Some(job.longest_wait),
-            ..Refusal::not_run(Reason::Overloaded, retry_after)
-        },
+        PlacementRefused::Overloaded { retry_after, wait } => {
+            // The caller of a stream does not wait for a turn beside those that have no part of it.
+            let retry_after = match job.is_continuation() {
+                true => retry_after.min(job.longest_wait),
+                false => retry_after,
+            };
+            Refusal {
+                wait: Some(wait),
+                longest_wait: Some(job.longest_wait),
+                ..Refusal::not_run(Reason::Overloaded, retry_after)
+            }
+        }
     };
     Refusal {
         omitted_targets,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -13,7 +13,7 @@
 use jujubebeam_core::gateway::{
     AdmissionClass, EngineLimits, GatewaySettings, HostRoute, IdentifyingFields, Placement,
     PlacementRequest, PromptPart, Repeatability, RequestIdentity, RequestKind, RequiredVersion,
-    Stage, TargetKey, WorkspaceQuota,
+    Stage, TargetKey, WorkspaceQuota, caller_idle_timeout,
 };
 use ntex::http::StatusCode;
 use ntex::io::{IoRef, OnDisconnect};
@@ -28,6 +28,7 @@
 use crate::pass_on::{self, PASSED_ON_HEADER, TakenGuard};
 use crate::server::Context;
 use crate::state::Shared;
+use crate::taken_up;
 
 /// Timeout of a request for which neither the caller nor the route sets one.
 pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -162,7 +163,10 @@
         RequestKind::Stream => first_versions(shared, &service),
         RequestKind::Idempotent | RequestKind::Once => None,
     };
-    let admission_class = shared.admission().classify(&route.name, incoming.deadline);
+    let admission_class = match taken_up::is_taken_up(route, &incoming) {
+        true => continuation_class(shared, route),
+        false => shared.admission().classify(&route.name, incoming.deadline),
+    };
     let time_left = expires_at.saturating_duration_since(Instant::now());
     let longest_wait = admission_class.longest_wait(route.latency_aim, time_left);
     let route = settings
@@ -222,6 +226,13 @@
     is_served.then_some(allowed)
 }
 
+/// Class of the remainder of a stream.
+fn continuation_class(shared: &Shared, route: &HostRoute) -> AdmissionClass {
+    AdmissionClass::Continuation {
+        idle_timeout: caller_idle_timeout(route, shared.config.pause_limits()),
+    }
+}
+
 fn tenant(
     settings: &GatewaySettings,
     route: &HostRoute,
@@ -343,6 +354,17 @@
         }
     }
 
+    /// Whether the caller has the first part of a stream from an earlier attempt.
+    pub(crate) fn is_continuation(&self) -> bool {
+        matches!(self.admission_class, AdmissionClass::Continuation { .. })
+    }
+
+    /// Longest predicted wait at which the remainder of a stream is sent whose first part was forwarded.
+    pub(crate) fn longest_continuation_wait(&self, shared: &Shared) -> Duration {
+        let route = self.route();
+        continuation_class(shared, route).longest_wait(route.latency_aim, self.time_left())
+    }
+
     /// Records the software version that began the stream. Only the first call has an effect.
     pub(crate) fn record_stream_version(&self, version: Option<&str>) {
         self.stream_version
--- a/crates/gateway/src/taken_up.rs
+++ b/crates/gateway/src/taken_up.rs
@@ -8,13 +8,13 @@
 
 use futures_util::future::{Either, select};
 use jujubebeam_core::gateway::{
-    OriginSource, OriginUnknown, RequestKind, StoredKnowledge, StreamEnd, StreamOrigin,
+    HostRoute, OriginSource, OriginUnknown, RequestKind, StoredKnowledge, StreamEnd, StreamOrigin,
     StreamOrigins, StreamQuery, StreamReplies, StreamReply,
 };
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
-use crate::adapters::{StoreApi, TakenUpStream};
+use crate::adapters::{Incoming, StoreApi, TakenUpStream};
 use crate::answer::{Reason, Refusal};
 use crate::decision_log::{DecisionKind, decision, millis};
 use crate::forward::NO_TARGET_RETRY;
@@ -323,11 +323,16 @@
     }
 }
 
+/// Whether a caller takes a stream up. Other requests do not go on.
+pub(crate) fn is_taken_up(route: &HostRoute, incoming: &Incoming) -> bool {
+    route.kind == RequestKind::Stream && incoming.taken_up.is_some()
+}
+
 impl Job {
-    /// The stream that the caller takes up. Other requests do not go on.
+    /// The stream that the caller takes up.
     pub(crate) fn taken_up(&self) -> Option<&TakenUpStream> {
-        let is_stream = self.route().kind == RequestKind::Stream;
-        self.incoming.taken_up.as_ref().filter(|_| is_stream)
+        let stream = self.incoming.taken_up.as_ref();
+        stream.filter(|_| is_taken_up(self.route(), &self.incoming))
     }
 
     /// The attempt that began the stream that the caller takes up, if it names one.
