Continue a stream only at the service that began it

Callers saw: a stream that broke off and was taken up after a change of its route held events of two services, and so of two versions; or it was refused although its service still had a part of the route.

Cause: the service of a stream that is taken up was chosen anew, by the id of the attempt and the weights of today. A vm that did not know the stream took the only version of that service for the one that began it; a vm that knew it refused it as moved.

Ruled out: one attempt recorded at two vms. A stream is recorded where its first event is forwarded, and a vm that has passed a stream on, and may have had it run, does not send it again (pass_on.rs, by reading).

Now each vm remembers which services a route has had for as long as a stream goes on, and the store has those of routes with several. Streams of such routes are stored like those of several versions, and nothing is concluded of one that nobody knows. A known stream goes on at its service while that has a part of the route. Earlier vms ignore the new field, and read the same records.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -90,7 +90,7 @@
 };
 pub use software_versions::{
     MIN_STREAM_LIFETIME, SOFTWARE_VERSIONS_KEY, SoftwareVersions, StoredVersions, UsedVersions,
-    stream_lifetime,
+    route_key, stream_lifetime,
 };
 pub use start_gate::StartGate;
 pub use stored_crashes::{STORED_CRASHES_KEY, StoredCrashes};
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -229,6 +229,12 @@
 }
 
 impl HostRoute {
+    /// Whether the route sends requests to a service.
+    pub fn has_service(&self, service: &str) -> bool {
+        let mut shares = self.services.iter();
+        shares.any(|share| share.service == service && share.weight > 0)
+    }
+
     /// Service for a request, chosen by weight with a hash of the request.
     pub fn service_for(&self, hash: u64) -> Option<&str> {
         let total: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
--- a/crates/core/src/gateway/software_versions.rs
+++ b/crates/core/src/gateway/software_versions.rs
@@ -9,14 +9,18 @@
 //! stream at a version that the store does not name. Once it names a second one, each vm records in the
 //! store that it uses them before it does, except for the first one, which all vms may have used until
 //! then. See `docs/incidents/out-of-step-vm.md`.
+//!
+//! The same holds for the services of a route. While a route has, or has had recently, several services,
+//! nothing is concluded of its streams from the versions of the one that it has now. See
+//! `docs/incidents/refused-continuations.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::catalog::CatalogTarget;
-use super::settings::{GatewaySettings, RequestKind};
+use super::settings::{GatewaySettings, HostRoute, RequestKind};
 
 /// Key of the versions in the store.
 pub const SOFTWARE_VERSIONS_KEY: &str = "versions/services";
@@ -47,6 +51,10 @@
     /// used no other one. Vms of earlier versions do not write it.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     base: BTreeMap<String, String>,
+    /// Services of each route that has, or has had recently, several of them. Vms of earlier versions
+    /// neither read nor write it.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    routes: BTreeMap<String, Vec<String>>,
 }
 
 impl StoredVersions {
@@ -55,9 +63,9 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Whether a service has several versions.
+    /// Whether a service has several versions, or a route several services.
     pub fn is_any_mixed(&self) -> bool {
-        self.services.values().any(|versions| versions.len() > 1)
+        !self.routes.is_empty() || self.services.values().any(|versions| versions.len() > 1)
     }
 
     /// The version that vms without a record have used, if it is known.
@@ -82,21 +90,106 @@
 /// Versions of each service that a vm has recorded to use.
 pub type UsedVersions = BTreeMap<String, Vec<String>>;
 
-/// What a vm knows of one version.
+/// What a vm knows of one version of a service, or of one service of a route.
 #[derive(Clone, Copy, Debug)]
 struct Sighting {
-    /// Since when no target of the version has been in the catalog.
+    /// Since when no target of the version has been in the catalog, or the route has not had the service.
     absent_since: Option<Duration>,
-    /// Whether a target of the version has been in this vm's catalog.
+    /// Whether this vm has seen it itself.
     is_witnessed: bool,
 }
 
+impl Sighting {
+    const PRESENT: Self = Self {
+        absent_since: None,
+        is_witnessed: true,
+    };
+}
+
+/// Alternatives by the name of what has them: versions by service, or services by route.
+#[derive(Debug, Default)]
+struct Sightings(BTreeMap<String, BTreeMap<String, Sighting>>);
+
+impl Sightings {
+    /// Records that no alternative exists now, until it is seen again.
+    fn mark_all_absent(&mut self, now: Duration) {
+        for sighting in self.0.values_mut().flat_map(BTreeMap::values_mut) {
+            sighting.absent_since.get_or_insert(now);
+        }
+    }
+
+    /// Records that an alternative exists now.
+    fn mark_present(&mut self, name: &str, alternative: &str) {
+        let known = match self.0.get_mut(name) {
+            Some(known) => known,
+            None => self.0.entry(name.to_owned()).or_default(),
+        };
+        match known.get_mut(alternative) {
+            Some(sighting) => *sighting = Sighting::PRESENT,
+            None => {
+                known.insert(alternative.to_owned(), Sighting::PRESENT);
+            }
+        }
+    }
+
+    /// Merges stored alternatives. Those that this vm has not seen itself count from now.
+    fn merge(&mut self, stored: &BTreeMap<String, Vec<String>>, lifetime: Duration, now: Duration) {
+        for (name, known) in &mut self.0 {
+            let stored = stored.get(name);
+            known.retain(|alternative, sighting| {
+                let is_own = sighting.is_witnessed && sighting.is_recent(lifetime, now);
+                is_own || stored.is_some_and(|stored| stored.contains(alternative))
+            });
+        }
+        self.0.retain(|_, known| !known.is_empty());
+        for (name, stored) in stored {
+            let known = self.0.entry(name.clone()).or_default();
+            for alternative in stored {
+                known.entry(alternative.clone()).or_insert(Sighting {
+                    absent_since: Some(now),
+                    is_witnessed: false,
+                });
+            }
+        }
+    }
+
+    /// Alternatives of one name that may have begun a stream which still goes on.
+    fn recent(&self, name: &str, lifetime: Duration, now: Duration) -> impl Iterator<Item = &str> {
+        let known = self.0.get(name).into_iter().flatten();
+        let recent = known.filter(move |(_, sighting)| sighting.is_recent(lifetime, now));
+        recent.map(|(alternative, _)| alternative.as_str())
+    }
+
+    /// All such alternatives that are included.
+    fn all_recent(
+        &self,
+        lifetime: Duration,
+        now: Duration,
+        is_included: impl Fn(&Sighting) -> bool,
+    ) -> BTreeMap<String, Vec<String>> {
+        let all = self.0.iter().map(|(name, known)| {
+            let recent = known
+                .iter()
+                .filter(|(_, sighting)| sighting.is_recent(lifetime, now) && is_included(sighting));
+            let recent: Vec<_> = recent.map(|(alternative, _)| alternative.clone()).collect();
+            (name.clone(), recent)
+        });
+        all.filter(|(_, recent)| !recent.is_empty()).collect()
+    }
+}
+
+/// Name of a route in the store, which it keeps when its settings change.
+pub fn route_key(route: &HostRoute) -> String {
+    format!("{}{}", route.host, route.path_prefix)
+}
+
 /// Versions of each service that may have begun a stream that still goes on.
 #[derive(Debug)]
 pub struct SoftwareVersions {
     /// Longest time for which a stream goes on, with all attempts of its caller.
     stream_lifetime: Duration,
-    services: BTreeMap<String, BTreeMap<String, Sighting>>,
+    services: Sightings,
+    routes: Sightings,
     /// Whether the stored versions have been read.
     is_complete: bool,
     /// What the store was last known to have.
@@ -122,7 +215,8 @@
     pub fn new(stream_lifetime: Duration) -> Self {
         Self {
             stream_lifetime,
-            services: BTreeMap::new(),
+            services: Sightings::default(),
+            routes: Sightings::default(),
             is_complete: false,
             named: StoredVersions::default(),
             recorded: UsedVersions::new(),
@@ -144,7 +238,7 @@
 
     /// Versions at which streams may begin, unless all that exist now are among them.
     pub fn restricted(&self, service: &str) -> Option<Vec<String>> {
-        let versions = self.services.get(service)?;
+        let versions = self.services.0.get(service)?;
         let mut present = versions
             .iter()
             .filter(|(_, known)| known.absent_since.is_none());
@@ -211,29 +305,53 @@
         now: Duration,
     ) -> bool {
         let before = self.own_versions(now);
-        for sighting in self.services.values_mut().flat_map(BTreeMap::values_mut) {
-            sighting.absent_since.get_or_insert(now);
-        }
+        self.services.mark_all_absent(now);
         for target in targets {
             let version = target.version.as_deref().unwrap_or(UNKNOWN);
-            let sighting = Sighting {
-                absent_since: None,
-                is_witnessed: true,
-            };
-            let versions = match self.services.get_mut(&target.service) {
-                Some(versions) => versions,
-                None => self.services.entry(target.service.clone()).or_default(),
-            };
-            match versions.get_mut(version) {
-                Some(known) => *known = sighting,
-                None => {
-                    versions.insert(version.to_owned(), sighting);
-                }
+            self.services.mark_present(&target.service, version);
+        }
+        before != self.own_versions(now)
+    }
+
+    /// Records the services of the routes that the settings have now. Returns whether what is stored may
+    /// have to change.
+    pub fn observe_routes(&mut self, settings: &GatewaySettings, now: Duration) -> bool {
+        let before = self.own_versions(now);
+        self.routes.mark_all_absent(now);
+        let streams = settings.routes.iter();
+        for route in streams.filter(|route| route.kind == RequestKind::Stream) {
+            let key = route_key(route);
+            for share in route.services.iter().filter(|share| share.weight > 0) {
+                self.routes.mark_present(&key, &share.service);
             }
         }
         before != self.own_versions(now)
     }
 
+    /// Whether several services may have begun the streams of a route.
+    pub fn is_route_mixed(&self, route: &str, now: Duration) -> bool {
+        let lifetime = self.stream_lifetime;
+        self.routes.recent(route, lifetime, now).nth(1).is_some()
+    }
+
+    /// Services of routes that have, or have had recently, several of them.
+    pub fn services_of_mixed_routes(&self, now: Duration) -> BTreeSet<String> {
+        let routes = self.mixed_routes(now, |_| true);
+        routes.into_values().flatten().collect()
+    }
+
+    fn mixed_routes(
+        &self,
+        now: Duration,
+        is_included: impl Fn(&Sighting) -> bool,
+    ) -> BTreeMap<String, Vec<String>> {
+        let mut routes = self
+            .routes
+            .all_recent(self.stream_lifetime, now, is_included);
+        routes.retain(|_, services| services.len() > 1);
+        routes
+    }
+
     /// Sets the longest time for which a stream goes on, with all attempts of its caller.
     pub fn set_stream_lifetime(&mut self, lifetime: Duration) {
         self.stream_lifetime = lifetime;
@@ -249,23 +367,8 @@
     pub fn merge(&mut self, stored: &StoredVersions, now: Duration) -> Option<StoredVersions> {
         self.is_complete = true;
         let lifetime = self.stream_lifetime;
-        for (service, versions) in &mut self.services {
-            let stored = stored.services.get(service);
-            versions.retain(|version, known| {
-                let is_own = known.is_witnessed && known.is_recent(lifetime, now);
-                is_own || stored.is_some_and(|stored| stored.contains(version))
-            });
-        }
-        self.services.retain(|_, versions| !versions.is_empty());
-        for (service, stored) in &stored.services {
-            let versions = self.services.entry(service.clone()).or_default();
-            for version in stored {
-                versions.entry(version.clone()).or_insert(Sighting {
-                    absent_since: Some(now),
-                    is_witnessed: false,
-                });
-            }
-        }
+        self.services.merge(&stored.services, lifetime, now);
+        self.routes.merge(&stored.routes, lifetime, now);
         let mut wanted = self.recent_versions(now, |_| true);
         for (service, versions) in &wanted.services {
             let was_mixed = self.named.of(service).len() > 1;
@@ -290,10 +393,7 @@
     }
 
     fn recent(&self, service: &str, now: Duration) -> impl Iterator<Item = &str> {
-        let versions = self.services.get(service).into_iter().flatten();
-        let lifetime = self.stream_lifetime;
-        let recent = versions.filter(move |(_, known)| known.is_recent(lifetime, now));
-        recent.map(|(version, _)| version.as_str())
+        self.services.recent(service, self.stream_lifetime, now)
     }
 
     /// The recent versions that this vm has seen itself.
@@ -306,19 +406,11 @@
         now: Duration,
         is_included: impl Fn(&Sighting) -> bool,
     ) -> StoredVersions {
-        let mut services = BTreeMap::new();
-        for (service, versions) in &self.services {
-            let recent = versions.iter().filter(|(_, known)| {
-                known.is_recent(self.stream_lifetime, now) && is_included(known)
-            });
-            let names: Vec<_> = recent.map(|(version, _)| version.clone()).collect();
-            if !names.is_empty() {
-                services.insert(service.clone(), names);
-            }
-        }
+        let lifetime = self.stream_lifetime;
         StoredVersions {
-            services,
+            services: self.services.all_recent(lifetime, now, &is_included),
             base: BTreeMap::new(),
+            routes: self.mixed_routes(now, is_included),
         }
     }
 }
--- a/crates/core/src/gateway/stream_lookup.rs
+++ b/crates/core/src/gateway/stream_lookup.rs
@@ -21,8 +21,10 @@
 /// A stream whose origin is looked up, and that this vm has not forwarded.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamQuery<'a> {
-    /// Its service.
+    /// Its service, if it is the only one of its route.
     pub service: &'a str,
+    /// Whether other services may have begun streams of its route.
+    pub is_route_mixed: bool,
     /// The attempt that began it, if the caller names it and it is recorded.
     pub id: Option<&'a str>,
     /// Key of the streams of the vm that looks it up, if that has forgotten none.
@@ -126,6 +128,13 @@
         if let Some(origin) = id.and_then(|id| replies.origin(id)) {
             return Ok((origin.clone(), OriginSource::Vm));
         }
+        let unknown = match replies.missing > 0 {
+            true => OriginUnknown::VmSilent,
+            false => OriginUnknown::NotRecorded,
+        };
+        if query.is_route_mixed {
+            return Err(unknown);
+        }
         let versions = self.versions.of(service);
         if let [version] = versions {
             return Ok((origin(service, version), OriginSource::OnlyVersion));
@@ -140,10 +149,6 @@
         });
         let used = others.flat_map(|(_, vm)| vm.used(service).unwrap_or(versions));
         let mut possible = used.map(String::as_str).chain(base);
-        let unknown = match replies.missing > 0 {
-            true => OriginUnknown::VmSilent,
-            false => OriginUnknown::NotRecorded,
-        };
         let first = possible.next().filter(|_| base.is_some()).ok_or(unknown)?;
         match possible.all(|other| other == first) {
             true => Ok((origin(service, first), OriginSource::OnlyVersion)),
--- a/crates/core/src/gateway/stream_origins.rs
+++ b/crates/core/src/gateway/stream_origins.rs
@@ -179,13 +179,16 @@
         self.streams.get(id).map(|stream| &stream.origin)
     }
 
-    /// The streams that other vms have to know: those of services with several versions that are not
-    /// complete.
+    /// The streams that other vms have to know: those that are not complete, of services with several
+    /// versions or whose routes have several services.
     pub fn to_store(&self, versions: &SoftwareVersions, now: Duration) -> StoredStreams {
         let mut origins = BTreeMap::<&StreamOrigin, Vec<String>>::new();
+        let services = versions.services_of_mixed_routes(now);
         for (id, stream) in &self.streams {
             let is_open = stream.open > 0 || stream.end == StreamEnd::Broken;
-            if is_open && versions.is_mixed(&stream.origin.service, now) {
+            let service = &stream.origin.service;
+            let is_mixed = versions.is_mixed(service, now) || services.contains(service);
+            if is_open && is_mixed {
                 origins.entry(&stream.origin).or_default().push(id.clone());
             }
         }
--- a/crates/core/tests/gateway_stream_origins.rs
+++ b/crates/core/tests/gateway_stream_origins.rs
@@ -302,6 +302,7 @@
 /// A lookup of the stream `a` by a vm with the key `own`.
 const QUERY: StreamQuery<'_> = StreamQuery {
     service: "s",
+    is_route_mixed: false,
     id: Some("a"),
     own_key: Some("own"),
     all_vms_record: true,
@@ -412,3 +413,82 @@
     assert!(!only(replies(&[reply("x", &[], &["v1"])], 1)));
     assert!(!only(replies(&[reply("x", &[], &["v1", "v2"])], 0)));
 }
+
+/// Settings whose only streaming route has these services.
+fn settings_with(services: &[&str]) -> GatewaySettings {
+    let shares = services.iter().map(|service| ServiceShare {
+        service: (*service).to_owned(),
+        weight: 1,
+    });
+    let mut settings = GatewaySettings::new(1);
+    settings.routes.push(HostRoute {
+        host: "shop".into(),
+        path_prefix: "/chat/".into(),
+        kind: RequestKind::Stream,
+        services: shares.collect(),
+        ..HostRoute::default()
+    });
+    settings
+}
+
+/// Guards against a conclusion from the service of today, although the route has sent streams to another
+/// one that still go on.
+#[test]
+fn a_service_that_lost_its_route_counts_for_as_long_as_its_streams_go_on() {
+    let mut versions = seeing(&["v1"], SECOND);
+    assert!(!versions.observe_routes(&settings_with(&["s"]), SECOND));
+    assert!(!versions.is_route_mixed("shop/chat/", SECOND));
+    assert!(versions.observe_routes(&settings_with(&["other"]), SECOND * 2));
+    let last = SECOND * 2 + LIFETIME - Duration::from_millis(1);
+    assert!(versions.is_route_mixed("shop/chat/", last));
+    assert!(!versions.is_route_mixed("shop/chat/", SECOND * 2 + LIFETIME));
+    // A vm that starts has it from the store, and counts it from its own start.
+    let stored = versions
+        .merge(&StoredVersions::default(), SECOND * 3)
+        .unwrap();
+    assert!(stored.is_any_mixed());
+    let start = LIFETIME * 5;
+    let mut younger = seeing(&["v1"], start);
+    younger.observe_routes(&settings_with(&["other"]), start);
+    assert_eq!(younger.merge(&stored, start), None);
+    assert!(younger.is_route_mixed("shop/chat/", start + LIFETIME / 2));
+    let wanted = younger.merge(&stored, start + LIFETIME).unwrap();
+    assert!(!wanted.is_any_mixed());
+}
+
+/// Guards against streams that nobody has recorded when their route is moved and their vm ends.
+#[test]
+fn streams_of_a_mixed_route_are_stored() {
+    let mut versions = seeing(&["v1"], SECOND);
+    versions.observe_routes(&settings_with(&["s"]), SECOND);
+    let mut origins = StreamOrigins::new(LIFETIME);
+    assert!(origins.begin("a", origin("v1")));
+    assert!(ids(&origins, &versions, SECOND).is_empty());
+    versions.observe_routes(&settings_with(&["other"]), SECOND * 2);
+    assert_eq!(ids(&origins, &versions, SECOND * 2), ["a"]);
+}
+
+/// Guards against a version that is concluded from the service that the route has now.
+#[test]
+fn nothing_is_concluded_of_unrecorded_streams_of_a_mixed_route() {
+    let stored = StoredKnowledge {
+        versions: stored(&["v1"]),
+        vms: Vec::new(),
+    };
+    let query = StreamQuery {
+        is_route_mixed: true,
+        ..QUERY
+    };
+    let unknown = stored.origin(&query, &StreamReplies::default());
+    assert_eq!(unknown, Err(OriginUnknown::NotRecorded));
+    let known = StreamReplies {
+        replies: vec![StreamReply {
+            key: None,
+            origins: vec![("a".into(), origin("v1"))],
+            versions: StoredVersions::default(),
+        }],
+        missing: 1,
+    };
+    let found = stored.origin(&query, &known);
+    assert_eq!(found, Ok((origin("v1"), OriginSource::Vm)));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -264,7 +264,7 @@
 
 /// Number of connections that one worker of this vm may open to a target of the service.
 fn connection_limit(shared: &Shared, job: &Job) -> usize {
-    let service = job.settings.services.get(&job.service);
+    let service = job.settings.services.get(job.service());
     let all = service.map_or(0, |s| s.max_connections);
     if all == 0 {
         return usize::MAX;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -250,7 +250,7 @@
         NextStep::Retry { uses_budget: true } => {
             // Vms that this one does not reach spend their shares too.
             let (_, vms) = shared.count_vms();
-            shared.budget().take(&job.service, vms, shared.now())
+            shared.budget().take(job.service(), vms, shared.now())
         }
         NextStep::Retry { uses_budget: false } => true,
         NextStep::Answer(_) => false,
@@ -423,7 +423,7 @@
         rank: job.rank(),
         is_continuation,
     };
-    permit::acquire(context, &job.service, key, demand, job.route().latency_aim).await
+    permit::acquire(context, job.service(), key, demand, job.route().latency_aim).await
 }
 
 /// Refusal of a request because other requests took the permits that were expected for it.
@@ -511,10 +511,10 @@
         let (fleet, now) = (shared.fleet(), shared.now());
         let (catalog, placer) = (&fleet.catalog, &fleet.placer);
         let usable = catalog.usable(now).filter(|(_, target)| {
-            let is_eligible = target.service == job.service && target.stage == job.stage();
+            let is_eligible = target.service == job.service() && target.stage == job.stage();
             is_eligible && job.required_version().allows(target.version.as_deref())
         });
-        let omitted = placer.omitted_targets(catalog, &job.service, now);
+        let omitted = placer.omitted_targets(catalog, job.service(), now);
         (omitted, usable.count())
     };
     let refusal = match refused {
--- a/crates/gateway/src/hand_over.rs
+++ b/crates/gateway/src/hand_over.rs
@@ -44,7 +44,7 @@
         Self {
             shared: shared.clone(),
             request: job.incoming.attempt_id.clone(),
-            service: job.service.clone(),
+            service: job.service().to_owned(),
             hand_over: HandOver {
                 source: computed.placement.key,
                 tokens: parts.iter().map(|part| part.tokens).sum(),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -54,7 +54,10 @@
     route: usize,
     pub(crate) incoming: Incoming,
     tenant: Option<String>,
-    pub(crate) service: String,
+    /// Service that the route chose for the request.
+    chosen_service: String,
+    /// Service at which the stream began that the caller takes up.
+    origin_service: OnceCell<String>,
     method: http::Method,
     uri: http::Uri,
     host: String,
@@ -193,7 +196,8 @@
         route,
         incoming,
         tenant,
-        service,
+        chosen_service: service,
+        origin_service: OnceCell::new(),
         uri,
         host,
         body,
@@ -309,6 +313,16 @@
         &self.settings.routes[self.route]
     }
 
+    /// Service that runs the request.
+    pub(crate) fn service(&self) -> &str {
+        self.origin_service.get().unwrap_or(&self.chosen_service)
+    }
+
+    /// Lets the service at which a stream began run the remainder. Only the first call has an effect.
+    pub(crate) fn continue_at_service(&self, service: &str) {
+        self.origin_service.get_or_init(|| service.to_owned());
+    }
+
     /// Rank of the request, 0 is the highest. That of the tenant overrides that of the route.
     pub(crate) fn rank(&self) -> u32 {
         let tenants = &self.settings.tenants;
@@ -341,7 +355,7 @@
         excluded: &'a [TargetKey],
     ) -> PlacementRequest<'a> {
         PlacementRequest {
-            service: &self.service,
+            service: self.service(),
             stage: self.stage(),
             parts,
             excluded,
@@ -388,11 +402,11 @@
 
     /// Limits of the service's engines; all zero for a plain service.
     pub(crate) fn engine(&self) -> EngineLimits {
-        engine_limits(&self.settings, &self.service)
+        engine_limits(&self.settings, self.service())
     }
 
     pub(crate) fn stage(&self) -> Option<Stage> {
-        let service = self.settings.services.get(&self.service)?;
+        let service = self.settings.services.get(self.service())?;
         service.engine.map(|_| Stage::Decode)
     }
 
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -213,7 +213,7 @@
     let owner = {
         let now = shared.now();
         let vms = shared.membership().coordinator_candidates(now);
-        let owner = owner_of(&job.service, &vms)?;
+        let owner = owner_of(job.service(), &vms)?;
         shared
             .unresponsive_owners()
             .may_query(owner, now)
@@ -258,7 +258,7 @@
     let is_reader = owner == shared.vm || shared.prompt_ends.is_reader(owner);
     let fleet = shared.fleet();
     let known_links = match is_reader {
-        true => fleet.placer.known_links(&job.service),
+        true => fleet.placer.known_links(job.service()),
         false => UNKNOWN_LINKS,
     };
     let name = |key: TargetKey| fleet.catalog.get(key).map(|target| target.id.clone());
@@ -266,7 +266,7 @@
     let excluded = excluded.iter().copied().chain(backing_off);
     PromptPlacementRequest {
         id: shared.next_query_id(),
-        service: job.service.clone(),
+        service: job.service().to_owned(),
         parts: job.incoming.prompt_parts.iter().copied().collect(),
         excluded: excluded.filter_map(name).collect(),
         longest_wait,
@@ -293,15 +293,15 @@
         ..
     } = &mut *fleet;
     if owned.owner() != shared.vm {
-        placer.adopt_prefill_cost(&job.service, answer.prefill_cost, now);
-        owner.adopt_prefill_cost(&job.service, answer.prefill_cost, now);
-        owner.adopt_slow_links(catalog, &job.service, answer.slow_links.as_ref(), now);
+        placer.adopt_prefill_cost(job.service(), answer.prefill_cost, now);
+        owner.adopt_prefill_cost(job.service(), answer.prefill_cost, now);
+        owner.adopt_slow_links(catalog, job.service(), answer.slow_links.as_ref(), now);
     }
     if answer.slow_links.is_some() {
         shared.prompt_ends.set_reader(owned.owner(), true);
     }
     let slow_links = answer.slow_links.as_ref();
-    placer.adopt_slow_links(catalog, &job.service, slow_links, now);
+    placer.adopt_slow_links(catalog, job.service(), slow_links, now);
     let choice = match answer.place {
         Ok(choice) => choice,
         Err(refused) => return Some(Err(refused)),
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -105,7 +105,7 @@
     has_not_run: bool,
 ) -> Option<HttpResponse> {
     let shared = &context.shared;
-    if !shared.reachability().is_cut_off(&job.service) {
+    if !shared.reachability().is_cut_off(job.service()) {
         return None;
     }
     let unreachable = || {
@@ -129,7 +129,7 @@
             PassedOn::NotTaken => {}
         }
     }
-    let is_silent = shared.reachability().is_silent(&job.service, shared.now());
+    let is_silent = shared.reachability().is_silent(job.service(), shared.now());
     (has_not_run && is_silent).then(unreachable)
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -373,7 +373,7 @@
             return false;
         }
         self.metrics.settings_version.set(settings.version as i64);
-        self.streams().set_lifetime(stream_lifetime(&settings));
+        self.observe_routes(&settings);
         *current = Some(Arc::new(settings));
         true
     }
@@ -440,6 +440,18 @@
         lock(&self.helpers)
     }
 
+    /// Records the services of the routes, and for how long their streams go on.
+    fn observe_routes(&self, settings: &GatewaySettings) {
+        let is_changed = {
+            let mut streams = self.streams();
+            streams.set_lifetime(stream_lifetime(settings));
+            streams.versions.observe_routes(settings, self.now())
+        };
+        if is_changed {
+            self.versions_changed.notify_one();
+        }
+    }
+
     /// Records the versions of the targets that exist now.
     pub(crate) fn observe_versions(&self, catalog: &Catalog, now: Duration) {
         let targets = catalog.iter().map(|(_, target)| target);
--- a/crates/gateway/src/taken_up.rs
+++ b/crates/gateway/src/taken_up.rs
@@ -9,7 +9,7 @@
 use futures_util::future::{Either, select};
 use jujubebeam_core::gateway::{
     HostRoute, OriginSource, OriginUnknown, RequestKind, StoredKnowledge, StreamEnd, StreamOrigin,
-    StreamOrigins, StreamQuery, StreamReplies, StreamReply,
+    StreamOrigins, StreamQuery, StreamReplies, StreamReply, route_key,
 };
 use tokio::sync::Mutex;
 use tokio::time::timeout;
@@ -80,7 +80,8 @@
     };
     let lookup = Lookup {
         shared,
-        service: &job.service,
+        service: job.service(),
+        route: route_key(job.route()),
         id: stream
             .origin
             .as_deref()
@@ -90,7 +91,7 @@
     let time = job.time_left().mul_f64(LOOKUP_SHARE).min(LOOKUP_TIMEOUT);
     let found = lookup.find(store, peers, time).await;
     let (outcome, refusal) = match &found {
-        Ok((origin, _)) if origin.service != job.service => {
+        Ok((origin, _)) if !job.route().has_service(&origin.service) => {
             let refusal = Refusal::without_retry(Reason::StreamMoved);
             ("other_service", Some(refusal))
         }
@@ -128,7 +129,10 @@
     if let Some(refusal) = refusal {
         return Err(refusal);
     }
-    job.record_stream_version(origin.and_then(|origin| origin.version.as_deref()));
+    if let Some(origin) = origin {
+        job.continue_at_service(&origin.service);
+        job.record_stream_version(origin.version.as_deref());
+    }
     Ok(())
 }
 
@@ -147,6 +151,7 @@
 struct Lookup<'a> {
     shared: &'a Shared,
     service: &'a str,
+    route: String,
     /// The attempt that began it, if the caller names it and it is recorded.
     id: Option<&'a str>,
     /// What was read or said before the request arrived may lack the stream.
@@ -204,6 +209,7 @@
             let now = self.shared.now();
             let query = StreamQuery {
                 service: self.service,
+                is_route_mixed: self.is_route_mixed(),
                 id: self.id,
                 own_key: own_key.as_deref(),
                 all_vms_record: self.shared.streams().versions.all_vms_record(now),
@@ -213,6 +219,9 @@
         if let Some(origin) = self.origin_at_vm(replies) {
             return Ok((origin, OriginSource::Vm));
         }
+        if self.is_route_mixed() {
+            return Err(OriginUnknown::StoreUnreadable);
+        }
         let (streams, now) = (self.shared.streams(), self.shared.now());
         let only = streams.versions.only_version(self.service, now);
         let origin = only.and_then(|only| replies.confirm_only_version(self.service, only));
@@ -221,6 +230,12 @@
             .ok_or(OriginUnknown::StoreUnreadable)
     }
 
+    fn is_route_mixed(&self) -> bool {
+        let now = self.shared.now();
+        let streams = self.shared.streams();
+        streams.versions.is_route_mixed(&self.route, now)
+    }
+
     /// Reads what the store has, unless it was read after the request arrived.
     async fn read(&self, store: &impl StoreApi) -> Option<Arc<StoredKnowledge>> {
         let mut last = self.shared.stream_lookups.stored.lock().await;
@@ -295,7 +310,7 @@
     /// Records that the first events of an answer are forwarded.
     pub(crate) fn begin(shared: &Arc<Shared>, job: &Job, version: Option<&str>) -> Self {
         let origin = StreamOrigin {
-            service: job.service.clone(),
+            service: job.service().to_owned(),
             version: version.map(str::to_owned),
         };
         let id = job.taken_up().and_then(|stream| stream.origin.clone());
