Compare the assignments of a route to its services, for vms that start too

Now the alternatives of a route are its assignments, services with weights: a split that stays is no change. They are all stored, up to 2,000 routes. A path whose route changes gets the assignment of the one that it matched before. What other vms reply counts, and what a vm has read from the store is kept although another one removes it there.

--- a/crates/core/src/gateway/software_versions.rs
+++ b/crates/core/src/gateway/software_versions.rs
@@ -10,11 +10,12 @@
 //! store that it uses them before it does, except for the first one, which all vms may have used until
 //! then. See `docs/incidents/out-of-step-vm.md`.
 //!
-//! The same holds for the services of a route. While a route has, or has had recently, several services,
-//! nothing is concluded of its streams from the versions of the one that it has now. See
+//! The same holds for the assignment of a route to its services. If it has changed recently, nothing is
+//! concluded of the streams of the route from the assignment of today. See
 //! `docs/incidents/refused-continuations.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::mem;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -32,6 +33,10 @@
 /// route's timeout.
 const ATTEMPTS: u32 = 4;
 
+/// Most routes whose assignments are all stored, with some dozen bytes each. Beyond that, a vm that starts
+/// does not know assignments that changed while no vm ran.
+const MAX_STORED_ROUTES: usize = 2000;
+
 /// Name of unknown versions, which no entry of a target can have.
 const UNKNOWN: &str = "";
 
@@ -51,8 +56,8 @@
     /// used no other one. Vms of earlier versions do not write it.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     base: BTreeMap<String, String>,
-    /// Services of each route that has, or has had recently, several of them. Vms of earlier versions
-    /// neither read nor write it.
+    /// Recent assignments of each route. Vms of earlier versions do not read them, and remove them when
+    /// they write.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     routes: BTreeMap<String, Vec<String>>,
 }
@@ -63,9 +68,17 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Whether a service has several versions, or a route several services.
+    /// Whether a service has several versions, or a route several assignments.
     pub fn is_any_mixed(&self) -> bool {
-        !self.routes.is_empty() || self.services.values().any(|versions| versions.len() > 1)
+        let mut alternatives = self.services.values().chain(self.routes.values());
+        alternatives.any(|alternatives| alternatives.len() > 1)
+    }
+
+    /// Whether a route has several assignments.
+    pub fn is_route_mixed(&self, route: &str) -> bool {
+        self.routes
+            .get(route)
+            .is_some_and(|assignments| assignments.len() > 1)
     }
 
     /// The version that vms without a record have used, if it is known.
@@ -90,10 +103,10 @@
 /// Versions of each service that a vm has recorded to use.
 pub type UsedVersions = BTreeMap<String, Vec<String>>;
 
-/// What a vm knows of one version of a service, or of one service of a route.
+/// What a vm knows of one version of a service, or of one assignment of a route.
 #[derive(Clone, Copy, Debug)]
 struct Sighting {
-    /// Since when no target of the version has been in the catalog, or the route has not had the service.
+    /// Since when no target of the version has been in the catalog, or the assignment not been in force.
     absent_since: Option<Duration>,
     /// Whether this vm has seen it itself.
     is_witnessed: bool,
@@ -106,7 +119,7 @@
     };
 }
 
-/// Alternatives by the name of what has them: versions by service, or services by route.
+/// Alternatives by the name of what has them: versions by service, or assignments by route.
 #[derive(Debug, Default)]
 struct Sightings(BTreeMap<String, BTreeMap<String, Sighting>>);
 
@@ -132,6 +145,24 @@
         }
     }
 
+    /// Merges stored alternatives, and keeps those that another vm has removed from the store.
+    fn merge_kept(
+        &mut self,
+        stored: &BTreeMap<String, Vec<String>>,
+        lifetime: Duration,
+        now: Duration,
+    ) {
+        for (name, known) in &mut self.0 {
+            let stored = stored.get(name);
+            known.retain(|alternative, sighting| {
+                let is_stored = stored.is_some_and(|stored| stored.contains(alternative));
+                is_stored || sighting.is_recent(lifetime, now)
+            });
+        }
+        self.0.retain(|_, known| !known.is_empty());
+        self.add_stored(stored, now);
+    }
+
     /// Merges stored alternatives. Those that this vm has not seen itself count from now.
     fn merge(&mut self, stored: &BTreeMap<String, Vec<String>>, lifetime: Duration, now: Duration) {
         for (name, known) in &mut self.0 {
@@ -142,6 +173,10 @@
             });
         }
         self.0.retain(|_, known| !known.is_empty());
+        self.add_stored(stored, now);
+    }
+
+    fn add_stored(&mut self, stored: &BTreeMap<String, Vec<String>>, now: Duration) {
         for (name, stored) in stored {
             let known = self.0.entry(name.clone()).or_default();
             for alternative in stored {
@@ -183,6 +218,40 @@
     format!("{}{}", route.host, route.path_prefix)
 }
 
+/// Separates the services of an assignment.
+const SERVICE_SEPARATOR: char = ',';
+
+/// Separates a service and its weight in an assignment.
+const WEIGHT_SEPARATOR: char = '*';
+
+/// The services of a route with their weights. They determine the service of a stream by the id of the
+/// attempt that began it.
+fn assignment(route: &HostRoute) -> String {
+    let shares = route.services.iter().filter(|share| share.weight > 0);
+    let shares = shares.map(|share| format!("{}{WEIGHT_SEPARATOR}{}", share.service, share.weight));
+    shares
+        .collect::<Vec<_>>()
+        .join(&SERVICE_SEPARATOR.to_string())
+}
+
+/// Services of an assignment.
+fn services_of(assignment: &str) -> impl Iterator<Item = &str> {
+    let shares = assignment.split(SERVICE_SEPARATOR);
+    shares.map(|share| match share.rsplit_once(WEIGHT_SEPARATOR) {
+        Some((service, _)) => service,
+        None => share,
+    })
+}
+
+/// The route with the longest prefix of a path, as for requests.
+fn longest_match<'a>(
+    routes: &'a BTreeMap<String, String>,
+    path: &str,
+) -> Option<(&'a String, &'a String)> {
+    let matching = routes.iter().filter(|(key, _)| path.starts_with(*key));
+    matching.max_by_key(|(key, _)| key.len())
+}
+
 /// Versions of each service that may have begun a stream that still goes on.
 #[derive(Debug)]
 pub struct SoftwareVersions {
@@ -190,6 +259,8 @@
     stream_lifetime: Duration,
     services: Sightings,
     routes: Sightings,
+    /// Assignments of the settings in force.
+    current_routes: BTreeMap<String, String>,
     /// Whether the stored versions have been read.
     is_complete: bool,
     /// What the store was last known to have.
@@ -217,6 +288,7 @@
             stream_lifetime,
             services: Sightings::default(),
             routes: Sightings::default(),
+            current_routes: BTreeMap::new(),
             is_complete: false,
             named: StoredVersions::default(),
             recorded: UsedVersions::new(),
@@ -313,42 +385,90 @@
         before != self.own_versions(now)
     }
 
-    /// Records the services of the routes that the settings have now. Returns whether what is stored may
-    /// have to change.
+    /// Records the assignments of the routes that the settings have now. Returns whether what is stored
+    /// may have to change.
     pub fn observe_routes(&mut self, settings: &GatewaySettings, now: Duration) -> bool {
-        let before = self.own_versions(now);
-        self.routes.mark_all_absent(now);
         let streams = settings.routes.iter();
-        for route in streams.filter(|route| route.kind == RequestKind::Stream) {
-            let key = route_key(route);
-            for share in route.services.iter().filter(|share| share.weight > 0) {
-                self.routes.mark_present(&key, &share.service);
-            }
+        let streams = streams.filter(|route| route.kind == RequestKind::Stream);
+        let routes: BTreeMap<_, _> = streams
+            .map(|route| (route_key(route), assignment(route)))
+            .collect();
+        if routes == self.current_routes {
+            return false;
+        }
+        self.routes.mark_all_absent(now);
+        for (key, assignment) in &routes {
+            self.routes.mark_present(key, assignment);
+        }
+        let before = mem::replace(&mut self.current_routes, routes);
+        self.record_rematched(&before, now);
+        true
+    }
+
+    /// Records the assignments of paths that match another route than before, because a route with a
+    /// longer prefix was added or removed.
+    fn record_rematched(&mut self, before: &BTreeMap<String, String>, now: Duration) {
+        let after = &self.current_routes;
+        let added = after.keys().filter(|key| !before.contains_key(*key));
+        let removed = before.keys().filter(|key| !after.contains_key(*key));
+        for key in added.chain(removed) {
+            let (Some((_, previous)), Some((route, _))) =
+                (longest_match(before, key), longest_match(after, key))
+            else {
+                continue;
+            };
+            let known = self.routes.0.entry(route.clone()).or_default();
+            known.entry(previous.clone()).or_insert(Sighting {
+                absent_since: Some(now),
+                is_witnessed: true,
+            });
         }
-        before != self.own_versions(now)
     }
 
-    /// Whether several services may have begun the streams of a route.
+    /// Whether the assignment of a route was another one when a stream may have begun that still goes on.
     pub fn is_route_mixed(&self, route: &str, now: Duration) -> bool {
         let lifetime = self.stream_lifetime;
         self.routes.recent(route, lifetime, now).nth(1).is_some()
     }
 
-    /// Services of routes that have, or have had recently, several of them.
+    /// Services of routes whose assignment has changed recently.
     pub fn services_of_mixed_routes(&self, now: Duration) -> BTreeSet<String> {
-        let routes = self.mixed_routes(now, |_| true);
-        routes.into_values().flatten().collect()
+        let routes = self.mixed_routes(now);
+        let assignments = routes.values().flatten();
+        let services = assignments.flat_map(|assignment| services_of(assignment));
+        services.map(str::to_owned).collect()
+    }
+
+    fn mixed_routes(&self, now: Duration) -> BTreeMap<String, Vec<String>> {
+        let lifetime = self.stream_lifetime;
+        let mut routes = self.routes.all_recent(lifetime, now, |_| true);
+        routes.retain(|_, assignments| assignments.len() > 1);
+        routes
     }
 
-    fn mixed_routes(
+    /// The assignments that the store should have: those that this vm has seen itself, and those that it
+    /// has already. All of them are needed by vms that start after a change, but a value of the store is
+    /// bounded.
+    fn wanted_routes(
         &self,
+        stored: &StoredVersions,
         now: Duration,
-        is_included: impl Fn(&Sighting) -> bool,
     ) -> BTreeMap<String, Vec<String>> {
-        let mut routes = self
-            .routes
-            .all_recent(self.stream_lifetime, now, is_included);
-        routes.retain(|_, services| services.len() > 1);
+        if self.routes.0.len() > MAX_STORED_ROUTES {
+            return self.mixed_routes(now);
+        }
+        let mut routes = self.routes.all_recent(self.stream_lifetime, now, |_| true);
+        for (key, assignments) in &mut routes {
+            let stored = stored.routes.get(key);
+            let known = self.routes.0.get(key);
+            assignments.retain(|assignment| {
+                let is_witnessed = known
+                    .and_then(|known| known.get(assignment))
+                    .is_some_and(|sighting| sighting.is_witnessed);
+                is_witnessed || stored.is_some_and(|stored| stored.contains(assignment))
+            });
+        }
+        routes.retain(|_, assignments| !assignments.is_empty());
         routes
     }
 
@@ -368,8 +488,9 @@
         self.is_complete = true;
         let lifetime = self.stream_lifetime;
         self.services.merge(&stored.services, lifetime, now);
-        self.routes.merge(&stored.routes, lifetime, now);
+        self.routes.merge_kept(&stored.routes, lifetime, now);
         let mut wanted = self.recent_versions(now, |_| true);
+        wanted.routes = self.wanted_routes(stored, now);
         for (service, versions) in &wanted.services {
             let was_mixed = self.named.of(service).len() > 1;
             if let Some(base) = stored.next_base(service, versions, was_mixed) {
@@ -408,9 +529,9 @@
     ) -> StoredVersions {
         let lifetime = self.stream_lifetime;
         StoredVersions {
-            services: self.services.all_recent(lifetime, now, &is_included),
+            services: self.services.all_recent(lifetime, now, is_included),
             base: BTreeMap::new(),
-            routes: self.mixed_routes(now, is_included),
+            routes: self.mixed_routes(now),
         }
     }
 }
--- a/crates/core/src/gateway/stream_lookup.rs
+++ b/crates/core/src/gateway/stream_lookup.rs
@@ -14,16 +14,19 @@
 pub struct StoredKnowledge {
     /// Versions of the services.
     pub versions: StoredVersions,
-    /// Streams of the vms, with their keys, if a service has several versions.
+    /// Streams of the vms, with their keys, if a service has several versions or a route several
+    /// assignments.
     pub vms: Vec<(String, StoredStreams)>,
 }
 
 /// A stream whose origin is looked up, and that this vm has not forwarded.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamQuery<'a> {
-    /// Its service, if it is the only one of its route.
+    /// Its service, unless the assignment of its route has changed recently.
     pub service: &'a str,
-    /// Whether other services may have begun streams of its route.
+    /// Name of its route in the store.
+    pub route: &'a str,
+    /// Whether the assignment of the route has changed recently, as far as this vm knows.
     pub is_route_mixed: bool,
     /// The attempt that began it, if the caller names it and it is recorded.
     pub id: Option<&'a str>,
@@ -101,6 +104,12 @@
             .then(|| origin(service, version))
     }
 
+    /// Whether another vm knows that the assignment of a route has changed recently.
+    pub fn is_route_mixed(&self, route: &str) -> bool {
+        let mut replies = self.replies.iter();
+        replies.any(|reply| reply.versions.is_route_mixed(route))
+    }
+
     fn has_replied(&self, key: &str) -> bool {
         self.replies
             .iter()
@@ -132,7 +141,7 @@
             true => OriginUnknown::VmSilent,
             false => OriginUnknown::NotRecorded,
         };
-        if query.is_route_mixed {
+        if query.is_route_mixed || replies.is_route_mixed(query.route) {
             return Err(unknown);
         }
         let versions = self.versions.of(service);
--- a/crates/core/src/gateway/stream_origins.rs
+++ b/crates/core/src/gateway/stream_origins.rs
@@ -180,7 +180,7 @@
     }
 
     /// The streams that other vms have to know: those that are not complete, of services with several
-    /// versions or whose routes have several services.
+    /// versions, or with a route whose assignment has changed recently.
     pub fn to_store(&self, versions: &SoftwareVersions, now: Duration) -> StoredStreams {
         let mut origins = BTreeMap::<&StreamOrigin, Vec<String>>::new();
         let services = versions.services_of_mixed_routes(now);
--- a/crates/gateway/src/taken_up.rs
+++ b/crates/gateway/src/taken_up.rs
@@ -120,6 +120,7 @@
         DecisionKind::TakenUp,
         request = job.incoming.attempt_id.as_str(),
         origin = stream.origin.as_deref(),
+        service = origin.map(|origin| origin.service.as_str()),
         version = origin.and_then(|origin| origin.version.as_deref()),
         source,
         outcome,
@@ -130,7 +131,10 @@
         return Err(refusal);
     }
     if let Some(origin) = origin {
-        job.continue_at_service(&origin.service);
+        if origin.service != job.service() {
+            shared.budget().request(&origin.service, shared.now());
+            job.continue_at_service(&origin.service);
+        }
         job.record_stream_version(origin.version.as_deref());
     }
     Ok(())
@@ -209,6 +213,7 @@
             let now = self.shared.now();
             let query = StreamQuery {
                 service: self.service,
+                route: &self.route,
                 is_route_mixed: self.is_route_mixed(),
                 id: self.id,
                 own_key: own_key.as_deref(),
@@ -219,7 +224,7 @@
         if let Some(origin) = self.origin_at_vm(replies) {
             return Ok((origin, OriginSource::Vm));
         }
-        if self.is_route_mixed() {
+        if self.is_route_mixed() || replies.is_route_mixed(&self.route) {
             return Err(OriginUnknown::StoreUnreadable);
         }
         let (streams, now) = (self.shared.streams(), self.shared.now());
