Confirm settings and targets before a stream is refused or concluded

Cause, by reading: the version was known from the store or another vm, but whether it has targets was decided by this vm's list, which is as old as its pause; the refusal is final. Settings have an age too: a vm that has not got a new configuration yet takes the service of the old one for the only one.

Ruled out: the version itself; another outcome would be logged.

Now a lookup confirms both replicas later than the request arrived, together with its read of the store. A version that has no target by an older list is refused only after a read; if the store does not reply, the caller may come back.

--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -286,6 +286,24 @@
     }
 }
 
+/// Reads a replica from the store, unless it was confirmed later than at `after`. Returns whether it is
+/// confirmed.
+pub(crate) async fn confirm<A: Adapters>(
+    context: &Context<A>,
+    kind: ReplicaKind,
+    after: Duration,
+) -> bool {
+    let is_confirmed = || {
+        let now = context.shared.now();
+        let age = context.shared.replicas().get(kind).freshness.age(now);
+        age.is_some_and(|age| now.saturating_sub(age) >= after)
+    };
+    if !is_confirmed() {
+        read_changes(context, kind).await;
+    }
+    is_confirmed()
+}
+
 /// Reads the changes since the revision of a replica.
 async fn read_changes<A: Adapters>(context: &Context<A>, kind: ReplicaKind) {
     let shared = &context.shared;
--- a/crates/gateway/src/taken_up.rs
+++ b/crates/gateway/src/taken_up.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use futures_util::future::{Either, select};
+use futures_util::future::{Either, join, select};
 use jujubebeam_core::gateway::{
     HostRoute, OriginSource, OriginUnknown, RequestKind, StoredKnowledge, StreamEnd, StreamOrigin,
     StreamOrigins, StreamQuery, StreamReplies, StreamReply, route_key,
@@ -36,6 +36,10 @@
 pub(crate) trait StreamPeers {
     /// Asks all other vms for streams by the ids of the attempts that began them.
     fn ask_streams(&self, attempts: Vec<String>) -> impl Future<Output = StreamReplies>;
+
+    /// Reads the settings and the list of targets from the store, unless they were confirmed later than
+    /// at `after`. Returns whether both are confirmed.
+    fn confirm_replicas(&self, after: Duration) -> impl Future<Output = bool>;
 }
 
 /// What the store had, shared by the requests that arrived before it was read.
@@ -90,11 +94,23 @@
     };
     let time = job.time_left().mul_f64(LOOKUP_SHARE).min(LOOKUP_TIMEOUT);
     let found = lookup.find(store, peers, time).await;
+    // The list of targets may be older than the version, for example after the vm stood still.
+    let is_outdated = match &found {
+        Ok((origin, _)) if !is_served(shared, origin) => {
+            let confirmed = timeout(time, peers.confirm_replicas(lookup.arrived_at)).await;
+            !confirmed.unwrap_or(false) && !is_served(shared, origin)
+        }
+        _ => false,
+    };
     let (outcome, refusal) = match &found {
         Ok((origin, _)) if !job.route().has_service(&origin.service) => {
             let refusal = Refusal::without_retry(Reason::StreamMoved);
             ("other_service", Some(refusal))
         }
+        Ok(_) if is_outdated => {
+            let refusal = Refusal::not_run(Reason::VersionGone, NO_TARGET_RETRY);
+            ("targets_outdated", Some(refusal))
+        }
         Ok((origin, _)) if !is_served(shared, origin) => {
             let refusal = Refusal::without_retry(Reason::VersionGone);
             ("gone", Some(refusal))
@@ -175,7 +191,7 @@
         {
             return Ok((origin.clone(), OriginSource::OwnStream));
         }
-        let mut read = pin!(timeout(time, self.read(store)));
+        let mut read = pin!(timeout(time, self.read(store, peers)));
         let Ok(stored) = timeout(STORE_TIME_BEFORE_ASKING, &mut read).await else {
             let asked = pin!(self.ask(peers));
             return match select(asked, read).await {
@@ -242,11 +258,18 @@
     }
 
     /// Reads what the store has, unless it was read after the request arrived.
-    async fn read(&self, store: &impl StoreApi) -> Option<Arc<StoredKnowledge>> {
+    async fn read(
+        &self,
+        store: &impl StoreApi,
+        peers: &impl StreamPeers,
+    ) -> Option<Arc<StoredKnowledge>> {
         let mut last = self.shared.stream_lookups.stored.lock().await;
         if last.began_at.is_none_or(|at| at < self.arrived_at) {
             let began_at = self.shared.now();
-            last.knowledge = Arc::new(read_knowledge(self.shared, store).await?);
+            // Other vms may have begun streams by settings that this one does not have yet.
+            let confirmed = peers.confirm_replicas(self.arrived_at);
+            let (knowledge, _) = join(read_knowledge(self.shared, store), confirmed).await;
+            last.knowledge = Arc::new(knowledge?);
             last.began_at = Some(began_at);
         }
         Some(last.knowledge.clone())
--- a/crates/jujubebeam/tests/paused_vm.rs
+++ b/crates/jujubebeam/tests/paused_vm.rs
@@ -186,6 +186,30 @@
     }
 }
 
+/// Guards against streams that are refused because the list of targets of a vm that stood still does not
+/// have the version yet of which another vm tells it.
+#[test]
+fn a_stream_of_a_version_that_the_vm_has_not_seen_yet_goes_on() {
+    let store = start_store();
+    let (old, new) = (server("v1"), server("v2"));
+    put(&store, "i-1", &old, "v1");
+    let first = Vm::start(store.address(), &[]);
+    let link = Proxy::start(store.address());
+    let paused = Vm::start(link.address(), &[first.peers]);
+    link.set(Fault::Delay(Duration::from_millis(150)));
+    paused.signal("STOP");
+    put(&store, "i-2", &new, "v2");
+    let begun = begin_at(first.callers, "v2", "s");
+    let taken: Vec<_> = begun.iter().map(|id| take_up(paused.callers, id)).collect();
+    std::thread::sleep(PAUSE);
+    paused.signal("CONT");
+    for mut stream in taken {
+        let got = Answer::read(&mut stream);
+        assert_eq!(got.status, 200, "{}", got.body);
+        assert_eq!(versions(&got.body), ["v2"], "{}", got.body);
+    }
+}
+
 /// Guards against the end of a wait for the store, because the vm stood still meanwhile, being taken for
 /// the store's silence.
 #[test]
