Send the class of a request with it to another vm

A vm that is cut off from a service passes its requests on with the time that is left of their deadlines. The other vm took them for retries once that was 0.8 of the longest deadline, for example where the route's timeout is shorter than what callers state, and served them after all its own requests. The sender's class is now in a header, which counts only from a vm. Earlier vms ignore the header and send none.

The class of a continuation is given on resumable routes only, as on others a header of the caller would be enough to get it.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -25,7 +25,7 @@
 use crate::adapters::{Adapters, Incoming, Outgoing, Wire, Work};
 use crate::answer::{CallerHeaders, Reason, Refusal};
 use crate::caller_memory::{HeldRequest, receive_body};
-use crate::pass_on::{self, PASSED_ON_HEADER, TakenGuard};
+use crate::pass_on::{self, ADMISSION_HEADER, PASSED_ON_HEADER, TakenGuard};
 use crate::server::Context;
 use crate::state::Shared;
 use crate::taken_up;
@@ -166,9 +166,14 @@
         RequestKind::Stream => first_versions(shared, &service),
         RequestKind::Idempotent | RequestKind::Once => None,
     };
-    let admission_class = match taken_up::is_taken_up(route, &incoming) {
-        true => continuation_class(shared, route),
-        false => shared.admission().classify(&route.name, incoming.deadline),
+    let is_continuation = route.resumable && taken_up::is_taken_up(route, &incoming);
+    let class_at_sender = taken
+        .as_ref()
+        .and_then(|_| pass_on::admission_class(request));
+    let admission_class = match class_at_sender {
+        _ if is_continuation => continuation_class(shared, route),
+        Some(class) => class,
+        None => shared.admission().classify(&route.name, incoming.deadline),
     };
     let time_left = expires_at.saturating_duration_since(Instant::now());
     let longest_wait = admission_class.longest_wait(route.latency_aim, time_left);
@@ -287,6 +292,7 @@
         let name = name.as_str();
         if HOP_HEADERS.contains(&name)
             || name == PASSED_ON_HEADER
+            || name == ADMISSION_HEADER
             || A::Wire::is_reserved(name)
             || listed.iter().any(|l| l == name)
         {
@@ -446,6 +452,8 @@
         let mut request = self.end_to_end_request();
         let headers = request.headers_mut();
         headers.insert(PASSED_ON_HEADER, http::HeaderValue::from(from.0));
+        let class = <&str>::from(self.admission_class);
+        headers.insert(ADMISSION_HEADER, http::HeaderValue::from_static(class));
         for (name, value) in A::Wire::to_vm(&self.incoming, self.time_left()) {
             let value = http::HeaderValue::from_str(&value).map_err(|_| UnsendableHeader(name))?;
             headers.insert(http::HeaderName::from_static(name), value);
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -15,7 +15,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use jujubebeam_core::VmId;
-use jujubebeam_core::gateway::{FinalAnswer, Repeatability, RequestKind, TargetKey};
+use jujubebeam_core::gateway::{
+    AdmissionClass, FinalAnswer, Repeatability, RequestKind, TargetKey,
+};
 use ntex::util::Bytes as NtexBytes;
 use ntex::web::{HttpRequest, HttpResponse};
 use smallvec::SmallVec;
@@ -37,6 +39,10 @@
 /// Header of a request that another vm passes on, with the id of that vm.
 pub(crate) const PASSED_ON_HEADER: &str = "jujubebeam-passed-on";
 
+/// Header of a request that another vm passes on, with the class that this vm has given it. The time that
+/// is left of its deadline would make it a retry.
+pub(crate) const ADMISSION_HEADER: &str = "jujubebeam-admission";
+
 /// Most vms that are asked to take a request.
 const MAX_HELPERS: usize = 3;
 
@@ -80,6 +86,13 @@
     }
 }
 
+/// Class of a request that another vm passes on. Vms of earlier versions name none.
+pub(crate) fn admission_class(request: &HttpRequest) -> Option<AdmissionClass> {
+    CallerHeaders(request.headers())
+        .find(ADMISSION_HEADER)
+        .and_then(|class| class.parse().ok())
+}
+
 /// Whether the vm that the header names has sent the request. A caller cannot use up the room for
 /// requests of other vms with a header of its own.
 fn is_from_vm(shared: &Shared, request: &HttpRequest) -> bool {
