Hold continuations to limits of their own at owners, hedges and short deadlines

The owner of a service granted permits for prompts of continuations as for new requests, as its query did not name them (a new field, which earlier vms neither send nor read). Retry-After of a refused continuation is at least 0.1 s.

--- a/crates/core/src/gateway/admission.rs
+++ b/crates/core/src/gateway/admission.rs
@@ -11,7 +11,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use strum::IntoStaticStr;
+use strum::{EnumString, IntoStaticStr};
 
 /// Maximum wait of a new request, as a share of the route's latency aim. The remainder covers the
 /// network delay to the caller and the error of the prediction.
@@ -33,7 +33,7 @@
 const RETRY_DETECTION_RATIO: f64 = 0.2;
 
 /// Kind of a request for its admission.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum AdmissionClass {
     /// First attempt of a caller.
@@ -54,7 +54,8 @@
         match self {
             Self::Continuation { idle_timeout } => {
                 let longest = idle_timeout.mul_f64(CONTINUATION_IDLE_RATIO);
-                longest.min(left.mul_f64(CONTINUATION_TIME_RATIO))
+                let longest = longest.min(left.mul_f64(CONTINUATION_TIME_RATIO));
+                longest.max(Self::New.longest_wait(aim, left))
             }
             Self::New | Self::Retry if aim.is_zero() => left,
             Self::New => aim.mul_f64(NEW_REQUEST_RATIO).min(left),
--- a/crates/core/src/gateway/prompt_owner.rs
+++ b/crates/core/src/gateway/prompt_owner.rs
@@ -72,12 +72,24 @@
     /// Rank of the request, 0 is the highest.
     #[serde(default)]
     pub rank: u32,
+    /// Whether the answer is the remainder of a stream, for which permits may be available when there are
+    /// none for others. Vms of earlier versions neither send nor read it.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_continuation: bool,
     /// Version of the slow links that the requesting vm knows. `None` if it reports no hand-overs, as
     /// earlier versions.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub known_links: Option<u64>,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// The engine that the owner has chosen.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PromptPlacement {
@@ -368,7 +380,7 @@
     ) -> PromptPlacementReply {
         let demand = PermitDemand {
             rank: prompt_request.rank,
-            is_continuation: false,
+            is_continuation: prompt_request.is_continuation,
         };
         let limited: SmallVec<[_; 4]> = limits
             .of_service(catalog, &prompt_request.service)
--- a/crates/core/tests/gateway_links.rs
+++ b/crates/core/tests/gateway_links.rs
@@ -267,6 +267,7 @@
             time_left: request.time_left,
             zone: request.zone.into(),
             rank: 0,
+            is_continuation: false,
             known_links: (self.run != Run::Earlier).then_some(known),
         };
         let reply = self
--- a/crates/core/tests/gateway_owner.rs
+++ b/crates/core/tests/gateway_owner.rs
@@ -78,6 +78,7 @@
             time_left: ms(8000),
             zone: "a".into(),
             rank: 0,
+            is_continuation: false,
             known_links: None,
         }
     }
--- a/crates/core/tests/gateway_rate_limits.rs
+++ b/crates/core/tests/gateway_rate_limits.rs
@@ -478,6 +478,7 @@
             time_left: ms(8000),
             zone: "a".into(),
             rank: 0,
+            is_continuation: false,
             known_links: None,
         };
         let reply = owner.place_within_limits(
--- a/crates/core/tests/gateway_retention.rs
+++ b/crates/core/tests/gateway_retention.rs
@@ -195,6 +195,7 @@
             time_left: ms(2000.0),
             zone: ZONES[random.random_range(0..3)].into(),
             rank: 0,
+            is_continuation: false,
             known_links: None,
         };
         let reply = owner.place(&catalog, &request, LIMITS, ms(now_ms));
--- a/crates/core/tests/gateway_uneven_targets.rs
+++ b/crates/core/tests/gateway_uneven_targets.rs
@@ -99,6 +99,7 @@
             time_left: Duration::from_secs(2),
             zone: "a".into(),
             rank: 0,
+            is_continuation: false,
             known_links: None,
         };
         let engine = EngineLimits {
--- a/crates/core/tests/support_burst/mod.rs
+++ b/crates/core/tests/support_burst/mod.rs
@@ -509,6 +509,7 @@
             time_left: left,
             zone: "a".into(),
             rank: 0,
+            is_continuation: false,
             known_links: None,
         };
         let answer = self
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -38,6 +38,9 @@
 /// `Retry-After` of refusals because the service has no target at all.
 pub(crate) const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
+/// Shortest `Retry-After` of a refused remainder of a stream. Queues have moved on by then.
+const MIN_CONTINUATION_RETRY: Duration = Duration::from_millis(100);
+
 /// Handles a request from a caller.
 pub(crate) async fn handle<A: Adapters>(
     context: State<Context<A>>,
@@ -370,7 +373,7 @@
         longest_wait,
         ..job.placement_request(&shared.config.zone, parts, excluded)
     };
-    place_permitted(context, job, &request, false).await
+    place_permitted(context, job, &request, job.is_continuation()).await
 }
 
 /// Chooses a target for the next attempt, and obtains a permit if the target limits its requests.
@@ -484,15 +487,16 @@
     keys.filter(|key| !kept.contains(key)).collect()
 }
 
-/// Chooses a target for the remainder of a stream.
+/// Chooses a target for the remainder of a stream, if its predicted wait is at most `longest_wait`.
 pub(crate) async fn place_continuation<A: Adapters>(
     context: &Context<A>,
     job: &Job,
     excluded: &[TargetKey],
+    longest_wait: Duration,
 ) -> Result<InFlight, Refusal> {
     let zone = &context.shared.config.zone;
     let request = PlacementRequest {
-        longest_wait: job.longest_continuation_wait(&context.shared),
+        longest_wait: longest_wait.min(job.longest_continuation_wait(&context.shared)),
         ..job.placement_request(zone, &job.incoming.prompt_parts, excluded)
     };
     place(context, job, &request, "continuation", true).await
@@ -528,7 +532,7 @@
         PlacementRefused::Overloaded { retry_after, wait } => {
             // The caller of a stream does not wait for a turn beside those that have no part of it.
             let retry_after = match job.is_continuation() {
-                true => retry_after.min(job.longest_wait),
+                true => retry_after.min(job.longest_wait.max(MIN_CONTINUATION_RETRY)),
                 false => retry_after,
             };
             Refusal {
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -273,6 +273,7 @@
         time_left: job.time_left(),
         zone: shared.config.zone.clone(),
         rank: job.rank(),
+        is_continuation: job.is_continuation(),
         known_links: Some(known_links),
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -474,7 +474,8 @@
             if Instant::now() >= self.job.expires_at {
                 return Err("the request's time is over".into());
             }
-            let (in_flight, last_id) = self.choose_next(step, end, until).await?;
+            let next = self.choose_next(step, end, until, Duration::MAX).await;
+            let (in_flight, last_id) = next?;
             match self.continue_at(in_flight, last_id).await {
                 Ok(source) => {
                     self.switch_source(source);
@@ -537,12 +538,13 @@
     }
 
     /// Chooses the next target, if `step` after an attempt that ended with `end` is a retry, and waits
-    /// for one until `until`. Returns it with the id of the last event.
+    /// until `until` for one with a predicted wait of at most `longest_wait`. Returns it with the id of the last event.
     async fn choose_next(
         &mut self,
         step: NextStep,
         end: AttemptEnd,
         until: Instant,
+        longest_wait: Duration,
     ) -> Result<(InFlight, u64), String> {
         let Some(last_id) = self.position.resume_id() else {
             return Err("the ids do not state where to continue".into());
@@ -568,7 +570,8 @@
                 true => forward::all_targets_except(&self.context.shared, &refused),
                 false => self.excluded.clone(),
             };
-            match forward::place_continuation(&self.context, &self.job, &excluded).await {
+            let (context, job) = (&self.context, &self.job);
+            match forward::place_continuation(context, job, &excluded, longest_wait).await {
                 Ok(in_flight) => return Ok((in_flight, last_id)),
                 Err(refusal) if Instant::now() + TARGET_CHECK_INTERVAL >= until => {
                     return Err(refusal.reason.to_string());
--- a/crates/gateway/src/stream/hedge.rs
+++ b/crates/gateway/src/stream/hedge.rs
@@ -7,6 +7,7 @@
 
 use std::cell::Cell;
 use std::pin::pin;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use jujubebeam_core::gateway::{AttemptEnd, MAX_OVERLAP};
@@ -197,7 +198,13 @@
         loop {
             let step = self.progress.next_beside_running(last);
             let end = last.unwrap_or(AttemptEnd::BrokenMidway);
-            let (in_flight, last_id) = self.choose_next(step, end, until).await?;
+            // Beside the silent target, the other one is left after that time.
+            let longest_wait = match is_connected.get() {
+                true => MAX_OVERLAP,
+                false => Duration::MAX,
+            };
+            let next = self.choose_next(step, end, until, longest_wait).await;
+            let (in_flight, last_id) = next?;
             let key = in_flight.placement.key;
             self.asked = Some(in_flight.placement.target.id.clone());
             let attempt = async {
