Log whole requests, and failures under limits of their own

Cause: at most 40 lines of a kind were written per second. In an incident the lines of requests that failed, were cut or took a stream up were those that dropped, and of other requests some lines were kept and others not.

Change: routine lines (placed, computed, handed_over, answered) are kept for a share of the requests, by a hash of the request id that is equal at all vms. The share is halved beyond 160 lines per second, down to 1/64, and doubled below a quarter of that; a request of which a line was kept stays kept until the end of the second. Lines that explain a failure have 200 per second and kind and 800 together, beyond which each kind still has 40. Requests whose caller takes a stream up, and answers with a status from 500, count as kinds of their own among these. All others keep 40. Lines left out are counted as before. The limiter is a pure type in core.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -15,6 +15,7 @@
 mod helpers;
 mod identity;
 mod leaving;
+mod log_limits;
 mod mirror;
 mod outcome;
 mod packed;
@@ -56,6 +57,10 @@
 pub use helpers::Helpers;
 pub use identity::{IdentifyingFields, RequestIdentity};
 pub use leaving::TargetRun;
+pub use log_limits::{
+    LineClass, LogLimiter, MAX_IMPORTANT_LINES_PER_KIND_PER_S, MAX_IMPORTANT_LINES_PER_S,
+    MAX_LINES_PER_KIND_PER_S, MAX_ROUTINE_LINES_PER_S, ROUTINE_LINES_PER_S,
+};
 pub use mirror::{MAX_REVISION, Mirror, MirrorDelta, MirrorItem, PackedItem, SkippedRevisions};
 pub use outcome::{AttemptEnd, FinalAnswer, NextStep, Repeatability, RequestProgress};
 pub use packed::PackedValue;
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -1,19 +1,15 @@
 //! Rate-limited log of decisions, one JSON object per line.
 
-use std::collections::HashMap;
 use std::io;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use jujubebeam_core::gateway::{LineClass, LogLimiter};
 use log::kv::{self, Key, Value, VisitSource};
 use serde::Serialize;
 use serde::ser::{SerializeMap, Serializer};
 use strum::{Display, IntoStaticStr};
 
-/// Most lines of one kind per second. Further lines are counted, and the next line of that kind is
-/// preceded by a line with their number.
-const MAX_LINES_PER_S: u32 = 40;
-
 /// Kind of a decision, which is written as the event of its line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -84,38 +80,85 @@
     Link,
 }
 
-#[derive(Debug, Default)]
-struct KindState {
-    second: u64,
-    written: u32,
-    omitted: u64,
+impl DecisionKind {
+    /// What limits lines of this kind that are logged without the importance of their request.
+    fn class(self) -> LineClass<'static> {
+        match self {
+            Self::Ended
+            | Self::CutOff
+            | Self::Attempt
+            | Self::Hedged
+            | Self::CallerLeft
+            | Self::TakenUp
+            | Self::Unanswered
+            | Self::Crash => LineClass::Important,
+            _ => LineClass::Other,
+        }
+    }
+
+    fn is_routine(self) -> bool {
+        matches!(
+            self,
+            Self::Placed | Self::Computed | Self::HandedOver | Self::Answered
+        )
+    }
+}
+
+/// What a request is to those who read the log after an incident. Lines of different importance have
+/// limits of their own, so that they do not hide each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Importance {
+    /// The kind of a line decides.
+    Usual,
+    /// A target answered it with an error.
+    Failed,
+    /// Its caller takes a stream up.
+    TakesStreamUp,
 }
 
 /// Rate limiter of the decision log.
 #[derive(Debug, Default)]
-pub(crate) struct DecisionLog(Mutex<HashMap<DecisionKind, KindState>>);
+pub(crate) struct DecisionLog(Mutex<LogLimiter<(DecisionKind, Importance)>>);
 
 impl DecisionLog {
-    /// Whether another line of this kind may be written in this second. If lines were omitted since
+    /// Whether another line of this kind may be written in this second. If lines were left out since
     /// the last one, logs their number first.
     pub(crate) fn admit(&self, kind: DecisionKind, now: Duration) -> bool {
-        let mut kinds = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let state = kinds.entry(kind).or_default();
-        if state.second != now.as_secs() {
-            state.second = now.as_secs();
-            state.written = 0;
-        }
-        if state.written >= MAX_LINES_PER_S {
-            state.omitted += 1;
-            return false;
-        }
-        state.written += 1;
-        let omitted = std::mem::take(&mut state.omitted);
-        drop(kinds);
-        if omitted > 0 {
-            log::info!(event = "left_out", kind:% = kind, lines = omitted; "");
+        self.admit_class(kind, Importance::Usual, kind.class(), now)
+    }
+
+    /// Whether another line of this kind may be written for a request in this second. Routine lines
+    /// are kept or dropped with the others of their request. Logs left-out lines as
+    /// [`DecisionLog::admit`] does.
+    pub(crate) fn admit_request(
+        &self,
+        kind: DecisionKind,
+        importance: Importance,
+        request: &str,
+        now: Duration,
+    ) -> bool {
+        let class = match importance {
+            Importance::Failed | Importance::TakesStreamUp => LineClass::Important,
+            Importance::Usual if kind.is_routine() => LineClass::Routine(request),
+            Importance::Usual => kind.class(),
+        };
+        self.admit_class(kind, importance, class, now)
+    }
+
+    fn admit_class(
+        &self,
+        kind: DecisionKind,
+        importance: Importance,
+        class: LineClass<'_>,
+        now: Duration,
+    ) -> bool {
+        let mut limiter = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let left_out = limiter.admit((kind, importance), class, now);
+        drop(limiter);
+        if let Some(lines @ 1..) = left_out {
+            log::info!(event = "left_out", kind:% = kind, lines; "");
         }
-        true
+        left_out.is_some()
     }
 }
 
@@ -126,7 +169,19 @@
 
 /// Logs a decision of a [`DecisionKind`] with fields in the syntax of [`log::info`], unless the
 /// rate limit of this kind is reached. The fields are evaluated only if the line is written.
+///
+/// Lines of routine kinds, and of requests that may be important, state the [`Importance`] before
+/// their fields, of which `request` is the first one and is evaluated in any case.
 macro_rules! decision {
+    (
+        $shared:expr, $kind:expr, importance: $importance:expr, request = $id:expr, $($fields:tt)+
+    ) => {{
+        let id: &str = $id;
+        let (kind, importance) = ($kind, $importance);
+        if $shared.decision_log.admit_request(kind, importance, id, $shared.now()) {
+            log::info!(event:% = kind, request = id, $($fields)+; "");
+        }
+    }};
     ($shared:expr, $kind:expr, $($fields:tt)+) => {
         if $shared.decision_log.admit($kind, $shared.now()) {
             log::info!(event:% = $kind, $($fields)+; "");
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -28,7 +28,8 @@
 use crate::prompt::{self, Prompt};
 use crate::quota;
 use crate::request_log::{
-    record_failed_attempt, record_placement, record_refusal, record_rejection, record_taken_up_end,
+    importance, record_failed_attempt, record_placement, record_refusal, record_rejection,
+    record_taken_up_end,
 };
 use crate::server::Context;
 use crate::state::{Fleet, Shared};
@@ -119,6 +120,7 @@
             decision!(
                 self.shared,
                 DecisionKind::CallerLeft,
+                importance: importance(&self.job),
                 request = id,
                 target:% = target,
                 midway = false,
--- a/crates/gateway/src/hand_over.rs
+++ b/crates/gateway/src/hand_over.rs
@@ -12,9 +12,10 @@
     PromptRequestId, ReportedPrompt, TargetKey, owner_of,
 };
 
-use crate::decision_log::{DecisionKind, decision, millis};
+use crate::decision_log::{DecisionKind, Importance, decision, millis};
 use crate::in_flight::InFlight;
 use crate::job::{Job, engine_limits};
+use crate::request_log::importance;
 use crate::state::{Fleet, Shared};
 
 /// The hand-over of a computed prompt. Its end is reported once, at the latest when it is dropped.
@@ -22,6 +23,7 @@
 pub(crate) struct ReportedHandOver {
     shared: Arc<Shared>,
     request: String,
+    importance: Importance,
     service: String,
     hand_over: HandOver,
     source: String,
@@ -44,6 +46,7 @@
         Self {
             shared: shared.clone(),
             request: job.incoming.attempt_id.clone(),
+            importance: importance(job),
             service: job.service().to_owned(),
             hand_over: HandOver {
                 source: computed.placement.key,
@@ -113,6 +116,7 @@
         decision!(
             shared,
             DecisionKind::HandedOver,
+            importance: self.importance,
             request = self.request.as_str(),
             source = self.source.as_str(),
             target = name.as_str(),
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -29,7 +29,7 @@
 use crate::decision_log::{DecisionKind, decision, millis};
 use crate::forward::NO_TARGET_RETRY;
 use crate::job::Job;
-use crate::request_log::record_refusal;
+use crate::request_log::{importance, record_refusal};
 use crate::server::{Context, RunningGuard};
 use crate::state::Shared;
 use crate::stream::{CLOSE_CHECK_INTERVAL, is_event_stream};
@@ -375,6 +375,7 @@
         decision!(
             shared,
             DecisionKind::CutOff,
+            importance: importance(&self.job),
             request = self.job.incoming.attempt_id.as_str(),
             route = self.job.route().name.as_str(),
             helper:% = self.guard.vm,
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -6,10 +6,18 @@
 use jujubebeam_core::gateway::{AttemptEnd, Placement};
 
 use crate::answer::Refusal;
-use crate::decision_log::{DecisionKind, decision, millis};
+use crate::decision_log::{DecisionKind, Importance, decision, millis};
 use crate::job::Job;
 use crate::state::Shared;
 
+/// Importance of the lines of a request, as far as it does not depend on its answer.
+pub(crate) fn importance(job: &Job) -> Importance {
+    match job.taken_up() {
+        Some(_) => Importance::TakesStreamUp,
+        None => Importance::Usual,
+    }
+}
+
 /// Records an answer that was forwarded completely. `longest_pause` is only set for a stream.
 pub(crate) fn record_answer(
     shared: &Shared,
@@ -29,6 +37,10 @@
     decision!(
         shared,
         DecisionKind::Answered,
+        importance: match importance(job) {
+            Importance::Usual if status >= 500 => Importance::Failed,
+            importance => importance,
+        },
         request = job.incoming.attempt_id.as_str(),
         route = job.route().name.as_str(),
         target:% = target,
@@ -72,6 +84,7 @@
     decision!(
         shared,
         DecisionKind::Ended,
+        importance: importance(job),
         request = job.incoming.attempt_id.as_str(),
         route = job.route().name.as_str(),
         reason:% = refusal.reason,
@@ -102,6 +115,7 @@
     decision!(
         shared,
         DecisionKind::Attempt,
+        importance: importance(job),
         request = job.incoming.attempt_id.as_str(),
         target,
         end:? = end,
@@ -121,6 +135,7 @@
     decision!(
         shared,
         DecisionKind::Placed,
+        importance: importance(job),
         request = job.incoming.attempt_id.as_str(),
         work,
         target = placement.target.id.as_str(),
@@ -157,6 +172,7 @@
     decision!(
         shared,
         DecisionKind::Computed,
+        importance: importance(job),
         request = job.incoming.attempt_id.as_str(),
         target = placement.target.id.as_str(),
         took_ms = millis(shared.now().saturating_sub(placement.placed_at)),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -33,7 +33,7 @@
 use crate::forward;
 use crate::in_flight::InFlight;
 use crate::job::Job;
-use crate::request_log::{record_answer, record_failed_attempt, record_taken_up_end};
+use crate::request_log::{importance, record_answer, record_failed_attempt, record_taken_up_end};
 use crate::server::{Context, RunningGuard};
 use crate::taken_up::RecordedStream;
 use hedge::Hedged;
@@ -254,6 +254,7 @@
             decision!(
                 shared,
                 DecisionKind::CallerLeft,
+                importance: importance(&self.job),
                 request = self.job.incoming.attempt_id.as_str(),
                 target:% = self.job.current_target.borrow(),
                 midway = true,
@@ -625,6 +626,7 @@
         decision!(
             shared,
             DecisionKind::CutOff,
+            importance: importance(&self.job),
             request = self.job.incoming.attempt_id.as_str(),
             route = self.job.route().name.as_str(),
             target:% = self.job.current_target.borrow(),
