Bound the wait of a continuation by the time after which its caller leaves

A vm that passes a request on names new requests and retries only, as a continuation is known by its own header.

--- a/crates/core/src/gateway/admission.rs
+++ b/crates/core/src/gateway/admission.rs
@@ -20,11 +20,12 @@
 /// Maximum wait of a retry, whose latency aim has passed, as a share of the latency aim.
 const RETRY_RATIO: f64 = 0.3;
 
-/// Maximum wait of the remainder of a stream, as a share of the time after which its caller leaves.
-/// What is left covers the work itself and the error of the prediction.
+/// Wait of the remainder of a stream, as a share of the time after which its caller leaves. What is left
+/// covers the work itself and the error of the prediction. It waits as long as a new request, if that
+/// is longer.
 const CONTINUATION_IDLE_RATIO: f64 = 0.25;
 
-/// Maximum wait of the remainder of a stream, as a share of the time that is left for all of it.
+/// The same, as a share of the time that is left for all of it.
 const CONTINUATION_TIME_RATIO: f64 = 0.5;
 
 /// A deadline that is shorter than the longest on its route by this share indicates a retry.
@@ -55,7 +56,8 @@
             Self::Continuation { idle_timeout } => {
                 let longest = idle_timeout.mul_f64(CONTINUATION_IDLE_RATIO);
                 let longest = longest.min(left.mul_f64(CONTINUATION_TIME_RATIO));
-                longest.max(Self::New.longest_wait(aim, left))
+                let of_new = Self::New.longest_wait(aim, left);
+                longest.max(of_new).min(idle_timeout)
             }
             Self::New | Self::Retry if aim.is_zero() => left,
             Self::New => aim.mul_f64(NEW_REQUEST_RATIO).min(left),
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -91,6 +91,7 @@
     CallerHeaders(request.headers())
         .find(ADMISSION_HEADER)
         .and_then(|class| class.parse().ok())
+        .filter(|class| matches!(class, AdmissionClass::New | AdmissionClass::Retry))
 }
 
 /// Whether the vm that the header names has sent the request. A caller cannot use up the room for
