Conclude nothing of streams by settings or prefixes that may have changed

A stream whose caller does not name the attempt that began it was concluded at any share of a split route. Settings that a lookup has just read did not count for its own request. A failed confirmation was ignored, and a batch was confirmed against the arrival of one of its requests. A path that matches another route than before got the newest assignment of that route only, and nothing when no vm ran during the change. Vms with more routes than are stored disagreed about their number. A lookup could wait for both replicas, and twice as long as it may.

Now a conclusion needs confirmed settings, or the word of all other vms; all recent assignments of the matched route count; a vm compares its routes with the stored ones at its start. The log line of the versions leaves routes out.

--- a/crates/core/src/gateway/software_versions.rs
+++ b/crates/core/src/gateway/software_versions.rs
@@ -74,6 +74,16 @@
         alternatives.any(|alternatives| alternatives.len() > 1)
     }
 
+    /// The versions, without the routes.
+    pub fn services(&self) -> &BTreeMap<String, Vec<String>> {
+        &self.services
+    }
+
+    /// Number of routes whose assignments are stored.
+    pub fn route_count(&self) -> usize {
+        self.routes.len()
+    }
+
     /// Whether a route has several assignments.
     pub fn is_route_mixed(&self, route: &str) -> bool {
         self.routes
@@ -244,10 +254,10 @@
 }
 
 /// The route with the longest prefix of a path, as for requests.
-fn longest_match<'a>(
-    routes: &'a BTreeMap<String, String>,
+fn longest_match<'a, T>(
+    routes: &'a BTreeMap<String, T>,
     path: &str,
-) -> Option<(&'a String, &'a String)> {
+) -> Option<(&'a String, &'a T)> {
     let matching = routes.iter().filter(|(key, _)| path.starts_with(*key));
     matching.max_by_key(|(key, _)| key.len())
 }
@@ -396,32 +406,40 @@
         if routes == self.current_routes {
             return false;
         }
+        let lifetime = self.stream_lifetime;
+        let mut before = self.routes.all_recent(lifetime, now, |_| true);
+        before.retain(|key, _| self.current_routes.contains_key(key));
         self.routes.mark_all_absent(now);
         for (key, assignment) in &routes {
             self.routes.mark_present(key, assignment);
         }
-        let before = mem::replace(&mut self.current_routes, routes);
+        self.current_routes = routes;
         self.record_rematched(&before, now);
         true
     }
 
     /// Records the assignments of paths that match another route than before, because a route with a
     /// longer prefix was added or removed.
-    fn record_rematched(&mut self, before: &BTreeMap<String, String>, now: Duration) {
+    fn record_rematched(&mut self, before: &BTreeMap<String, Vec<String>>, now: Duration) {
         let after = &self.current_routes;
         let added = after.keys().filter(|key| !before.contains_key(*key));
         let removed = before.keys().filter(|key| !after.contains_key(*key));
         for key in added.chain(removed) {
-            let (Some((_, previous)), Some((route, _))) =
+            let (Some((_, previous)), Some((route, current))) =
                 (longest_match(before, key), longest_match(after, key))
             else {
                 continue;
             };
             let known = self.routes.0.entry(route.clone()).or_default();
-            known.entry(previous.clone()).or_insert(Sighting {
-                absent_since: Some(now),
-                is_witnessed: true,
-            });
+            for assignment in previous.iter().filter(|previous| *previous != current) {
+                known.insert(
+                    assignment.clone(),
+                    Sighting {
+                        absent_since: Some(now),
+                        is_witnessed: true,
+                    },
+                );
+            }
         }
     }
 
@@ -454,10 +472,11 @@
         stored: &StoredVersions,
         now: Duration,
     ) -> BTreeMap<String, Vec<String>> {
-        if self.routes.0.len() > MAX_STORED_ROUTES {
-            return self.mixed_routes(now);
-        }
-        let mut routes = self.routes.all_recent(self.stream_lifetime, now, |_| true);
+        // All vms with the same settings decide alike.
+        let mut routes = match self.current_routes.len() > MAX_STORED_ROUTES {
+            true => self.mixed_routes(now),
+            false => self.routes.all_recent(self.stream_lifetime, now, |_| true),
+        };
         for (key, assignments) in &mut routes {
             let stored = stored.routes.get(key);
             let known = self.routes.0.get(key);
@@ -485,10 +504,14 @@
     /// Merges the stored versions. Those that this vm has not seen itself may have begun streams
     /// until now. Returns what the store should have instead, if that differs.
     pub fn merge(&mut self, stored: &StoredVersions, now: Duration) -> Option<StoredVersions> {
-        self.is_complete = true;
+        let is_first = !mem::replace(&mut self.is_complete, true);
         let lifetime = self.stream_lifetime;
         self.services.merge(&stored.services, lifetime, now);
         self.routes.merge_kept(&stored.routes, lifetime, now);
+        if is_first {
+            // Routes may have been added or removed while no vm ran.
+            self.record_rematched(&stored.routes, now);
+        }
         let mut wanted = self.recent_versions(now, |_| true);
         wanted.routes = self.wanted_routes(stored, now);
         for (service, versions) in &wanted.services {
--- a/crates/core/src/gateway/stream_lookup.rs
+++ b/crates/core/src/gateway/stream_lookup.rs
@@ -17,6 +17,9 @@
     /// Streams of the vms, with their keys, if a service has several versions or a route several
     /// assignments.
     pub vms: Vec<(String, StoredStreams)>,
+    /// Whether the settings of this vm were confirmed since the request arrived. Otherwise other vms may have
+    /// begun streams at services that it does not know.
+    pub has_current_settings: bool,
 }
 
 /// A stream whose origin is looked up, and that this vm has not forwarded.
@@ -94,7 +97,7 @@
     /// Origin of all streams of a service if `version` is the only one that any vm knows, and all vms
     /// have replied. A vm that gets no reply may itself be the one that is out of step.
     pub fn confirm_only_version(&self, service: &str, version: &str) -> Option<StreamOrigin> {
-        if self.missing > 0 || self.replies.is_empty() {
+        if !self.is_complete() {
             return None;
         }
         let replies = self.replies.iter();
@@ -104,6 +107,11 @@
             .then(|| origin(service, version))
     }
 
+    /// Whether there are other vms, and all of them have replied.
+    fn is_complete(&self) -> bool {
+        self.missing == 0 && !self.replies.is_empty()
+    }
+
     /// Whether another vm knows that the assignment of a route has changed recently.
     pub fn is_route_mixed(&self, route: &str) -> bool {
         let mut replies = self.replies.iter();
@@ -144,6 +152,9 @@
         if query.is_route_mixed || replies.is_route_mixed(query.route) {
             return Err(unknown);
         }
+        if !self.has_current_settings && !replies.is_complete() {
+            return Err(OriginUnknown::StoreUnreadable);
+        }
         let versions = self.versions.of(service);
         if let [version] = versions {
             return Ok((origin(service, version), OriginSource::OnlyVersion));
--- a/crates/core/tests/gateway_stream_origins.rs
+++ b/crates/core/tests/gateway_stream_origins.rs
@@ -315,6 +315,7 @@
     replies: &StreamReplies,
 ) -> Result<String, OriginUnknown> {
     let knowledge = StoredKnowledge {
+        has_current_settings: true,
         versions: released(),
         vms,
     };
@@ -354,6 +355,7 @@
 #[test]
 fn nothing_follows_from_the_lack_of_a_record_beside_vms_of_an_earlier_version() {
     let knowledge = StoredKnowledge {
+        has_current_settings: true,
         versions: released(),
         vms: Vec::new(),
     };
@@ -398,6 +400,7 @@
     assert_eq!(found(vec![earlier], &StreamReplies::default()), unknown);
     // Such a vm also writes the versions without the one that was the only one before.
     let knowledge = StoredKnowledge {
+        has_current_settings: true,
         versions: stored(&["v1", "v2"]),
         vms: Vec::new(),
     };
@@ -437,7 +440,8 @@
 #[test]
 fn a_service_that_lost_its_route_counts_for_as_long_as_its_streams_go_on() {
     let mut versions = seeing(&["v1"], SECOND);
-    versions.observe_routes(&settings_with(&["s"]), SECOND);
+    assert!(versions.observe_routes(&settings_with(&["s"]), SECOND));
+    assert!(!versions.observe_routes(&settings_with(&["s"]), SECOND));
     assert!(!versions.is_route_mixed("shop/chat/", SECOND));
     assert!(versions.observe_routes(&settings_with(&["other"]), SECOND * 2));
     let last = SECOND * 2 + LIFETIME - Duration::from_millis(1);
@@ -473,6 +477,7 @@
 #[test]
 fn nothing_is_concluded_of_unrecorded_streams_of_a_mixed_route() {
     let stored = StoredKnowledge {
+        has_current_settings: true,
         versions: stored(&["v1"]),
         vms: Vec::new(),
     };
@@ -493,3 +498,75 @@
     let found = stored.origin(&query, &known);
     assert_eq!(found, Ok((origin("v1"), OriginSource::Vm)));
 }
+
+/// Settings with a route for each prefix and service.
+fn settings_of(routes: &[(&str, &str)]) -> GatewaySettings {
+    let mut settings = settings_with(&[]);
+    let template = settings.routes.remove(0);
+    let routes = routes.iter().map(|(prefix, service)| HostRoute {
+        path_prefix: (*prefix).to_owned(),
+        services: [ServiceShare {
+            service: (*service).to_owned(),
+            weight: 1,
+        }]
+        .into_iter()
+        .collect(),
+        ..template.clone()
+    });
+    settings.routes = routes.collect();
+    settings
+}
+
+/// Guards against paths whose streams are concluded of the route that they match since a change.
+#[test]
+fn a_path_that_matches_another_route_than_before_is_mixed() {
+    let short = settings_of(&[("/chat/", "s")]);
+    let both = settings_of(&[("/chat/", "s"), ("/chat/x/", "other")]);
+    let mut versions = seeing(&["v1"], SECOND);
+    versions.observe_routes(&short, SECOND);
+    versions.observe_routes(&both, SECOND * 2);
+    assert!(versions.is_route_mixed("shop/chat/x/", SECOND * 2));
+    assert!(!versions.is_route_mixed("shop/chat/", SECOND * 2));
+    let later = SECOND * 2 + LIFETIME;
+    assert!(!versions.is_route_mixed("shop/chat/x/", later));
+    versions.observe_routes(&short, later);
+    assert!(versions.is_route_mixed("shop/chat/", later));
+    // A vm that starts after such a change compares its routes with the stored ones.
+    let mut first = seeing(&["v1"], SECOND);
+    first.observe_routes(&short, SECOND);
+    let stored = first.merge(&StoredVersions::default(), SECOND).unwrap();
+    let mut younger = seeing(&["v1"], SECOND);
+    younger.observe_routes(&both, SECOND);
+    younger.merge(&stored, SECOND);
+    assert!(younger.is_route_mixed("shop/chat/x/", SECOND));
+}
+
+/// Guards against a split that stays, whose streams would all be stored for good.
+#[test]
+fn a_route_that_is_split_for_good_is_not_mixed() {
+    let mut versions = seeing(&["v1"], SECOND);
+    versions.observe_routes(&settings_with(&["s", "other"]), SECOND);
+    assert!(!versions.is_route_mixed("shop/chat/", SECOND));
+    assert!(versions.services_of_mixed_routes(SECOND).is_empty());
+}
+
+/// Guards against a vm that concludes with settings that may be older than those of other vms.
+#[test]
+fn nothing_is_concluded_with_settings_that_are_not_confirmed() {
+    let outdated = StoredKnowledge {
+        versions: stored(&["v1"]),
+        vms: Vec::new(),
+        has_current_settings: false,
+    };
+    let unknown = outdated.origin(&QUERY, &StreamReplies::default());
+    assert_eq!(unknown, Err(OriginUnknown::StoreUnreadable));
+    let agreeing = StreamReplies {
+        replies: vec![StreamReply {
+            key: None,
+            origins: Vec::new(),
+            versions: stored(&["v1"]),
+        }],
+        missing: 0,
+    };
+    assert!(outdated.origin(&QUERY, &agreeing).is_ok());
+}
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -319,6 +319,11 @@
         &self.settings.routes[self.route]
     }
 
+    /// The route of the request by other settings.
+    pub(crate) fn route_in<'a>(&self, settings: &'a GatewaySettings) -> Option<&'a HostRoute> {
+        settings.route(&self.host, self.uri.path())
+    }
+
     /// Service that runs the request.
     pub(crate) fn service(&self) -> &str {
         self.origin_service.get().unwrap_or(&self.chosen_service)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use futures_util::future::{join, join_all};
+use futures_util::future::join_all;
 use jujubebeam_core::gateway::{QuotaQuery, QuotaReply, ReturnedQuota, RunCounts, StreamReplies};
 use jujubebeam_core::membership::{Command, Event};
 use jujubebeam_core::quarantine::QuarantineEvent;
@@ -326,14 +326,12 @@
         StreamReplies { replies, missing }
     }
 
-    async fn confirm_replicas(&self, after: Duration) -> bool {
-        let confirm = |kind| replication::confirm(self, kind, after);
-        let (settings, targets) = join(
-            confirm(ReplicaKind::Settings),
-            confirm(ReplicaKind::Targets),
-        )
-        .await;
-        settings && targets
+    async fn confirm_settings(&self, after: Duration) -> bool {
+        replication::confirm(self, ReplicaKind::Settings, after).await
+    }
+
+    async fn confirm_targets(&self, after: Duration) -> bool {
+        replication::confirm(self, ReplicaKind::Targets, after).await
     }
 }
 
--- a/crates/gateway/src/stored_streams.rs
+++ b/crates/gateway/src/stored_streams.rs
@@ -98,7 +98,12 @@
     };
     let is_written = matches!(store.perform(op).await, StoreReply::Written { .. });
     if is_written {
-        decision!(shared, DecisionKind::SoftwareVersions, versions:? = wanted);
+        decision!(
+            shared,
+            DecisionKind::SoftwareVersions,
+            versions:? = wanted.services(),
+            routes = wanted.route_count()
+        );
         if shared.streams().versions.set_named(wanted) {
             shared.versions_named.notify_one();
         }
@@ -134,7 +139,11 @@
         true => read_streams(store).await?,
         false => Vec::new(),
     };
-    Some(StoredKnowledge { versions, vms })
+    Some(StoredKnowledge {
+        versions,
+        vms,
+        has_current_settings: false,
+    })
 }
 
 /// The stored versions with their entry, or `None` if the store does not reply.
--- a/crates/gateway/src/taken_up.rs
+++ b/crates/gateway/src/taken_up.rs
@@ -12,7 +12,7 @@
     StreamOrigins, StreamQuery, StreamReplies, StreamReply, route_key,
 };
 use tokio::sync::Mutex;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::adapters::{Incoming, StoreApi, TakenUpStream};
 use crate::answer::{Reason, Refusal};
@@ -32,14 +32,20 @@
 /// Time after which other vms are asked because the store has not replied.
 const STORE_TIME_BEFORE_ASKING: Duration = Duration::from_millis(60);
 
+/// Timeout for confirming the settings, beside the read of what the store has of streams.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Other vms, which may have forwarded parts of streams.
 pub(crate) trait StreamPeers {
     /// Asks all other vms for streams by the ids of the attempts that began them.
     fn ask_streams(&self, attempts: Vec<String>) -> impl Future<Output = StreamReplies>;
 
-    /// Reads the settings and the list of targets from the store, unless they were confirmed later than
-    /// at `after`. Returns whether both are confirmed.
-    fn confirm_replicas(&self, after: Duration) -> impl Future<Output = bool>;
+    /// Reads the settings from the store, unless they were confirmed later than at `after`. Returns whether
+    /// they are.
+    fn confirm_settings(&self, after: Duration) -> impl Future<Output = bool>;
+
+    /// The same for the list of targets.
+    fn confirm_targets(&self, after: Duration) -> impl Future<Output = bool>;
 }
 
 /// What the store had, shared by the requests that arrived before it was read.
@@ -85,6 +91,7 @@
     let lookup = Lookup {
         shared,
         service: job.service(),
+        job,
         route: route_key(job.route()),
         id: stream
             .origin
@@ -93,17 +100,18 @@
         arrived_at: shared.now(),
     };
     let time = job.time_left().mul_f64(LOOKUP_SHARE).min(LOOKUP_TIMEOUT);
+    let until = Instant::now() + time;
     let found = lookup.find(store, peers, time).await;
     // The list of targets may be older than the version, for example after the vm stood still.
     let is_outdated = match &found {
         Ok((origin, _)) if !is_served(shared, origin) => {
-            let confirmed = timeout(time, peers.confirm_replicas(lookup.arrived_at)).await;
+            let confirmed = timeout_at(until, peers.confirm_targets(lookup.arrived_at)).await;
             !confirmed.unwrap_or(false) && !is_served(shared, origin)
         }
         _ => false,
     };
     let (outcome, refusal) = match &found {
-        Ok((origin, _)) if !job.route().has_service(&origin.service) => {
+        Ok((origin, _)) if !is_routed(shared, job, &origin.service) => {
             let refusal = Refusal::without_retry(Reason::StreamMoved);
             ("other_service", Some(refusal))
         }
@@ -156,6 +164,15 @@
     Ok(())
 }
 
+/// Whether the route sends requests to a service, by the settings of the request or by those in force now,
+/// which may have been read since.
+fn is_routed(shared: &Shared, job: &Job, service: &str) -> bool {
+    let settings = shared.settings();
+    let current = settings.as_ref().and_then(|s| job.route_in(s));
+    let routes = [Some(job.route()), current];
+    routes.into_iter().flatten().any(|r| r.has_service(service))
+}
+
 /// Whether a target that can continue the stream exists, if only for the future.
 fn is_served(shared: &Shared, origin: &StreamOrigin) -> bool {
     let (fleet, now) = (shared.fleet(), shared.now());
@@ -170,6 +187,7 @@
 /// A stream whose origin is looked up.
 struct Lookup<'a> {
     shared: &'a Shared,
+    job: &'a Job,
     service: &'a str,
     route: String,
     /// The attempt that began it, if the caller names it and it is recorded.
@@ -252,9 +270,17 @@
     }
 
     fn is_route_mixed(&self) -> bool {
+        // The service of a stream whose caller does not name it may be any of the route.
+        if self.id.is_none() && self.job.route().services.len() > 1 {
+            return true;
+        }
         let now = self.shared.now();
+        let settings = self.shared.settings();
+        let current = settings.as_ref().and_then(|s| self.job.route_in(s));
         let streams = self.shared.streams();
-        streams.versions.is_route_mixed(&self.route, now)
+        let keys = [Some(self.route.clone()), current.map(route_key)];
+        let mut keys = keys.into_iter().flatten();
+        keys.any(|key| streams.versions.is_route_mixed(&key, now))
     }
 
     /// Reads what the store has, unless it was read after the request arrived.
@@ -266,10 +292,12 @@
         let mut last = self.shared.stream_lookups.stored.lock().await;
         if last.began_at.is_none_or(|at| at < self.arrived_at) {
             let began_at = self.shared.now();
-            // Other vms may have begun streams by settings that this one does not have yet.
-            let confirmed = peers.confirm_replicas(self.arrived_at);
-            let (knowledge, _) = join(read_knowledge(self.shared, store), confirmed).await;
-            last.knowledge = Arc::new(knowledge?);
+            let confirm = timeout(CONFIRMATION_TIMEOUT, peers.confirm_settings(began_at));
+            let (knowledge, confirmed) = join(read_knowledge(self.shared, store), confirm).await;
+            last.knowledge = Arc::new(StoredKnowledge {
+                has_current_settings: confirmed.unwrap_or(false),
+                ..knowledge?
+            });
             last.began_at = Some(began_at);
         }
         Some(last.knowledge.clone())
