Give the confirmation of settings the time of a slow store

Cause, by reading: concludes nothing unless the settings are confirmed or all other vms reply, and this vm has no other; the confirmation had 150 ms, which a store that replies in 200 ms misses while the rest of the lookup has 500 ms. Now it has 400 ms.

--- a/crates/gateway/src/taken_up.rs
+++ b/crates/gateway/src/taken_up.rs
@@ -32,8 +32,9 @@
 /// Time after which other vms are asked because the store has not replied.
 const STORE_TIME_BEFORE_ASKING: Duration = Duration::from_millis(60);
 
-/// Timeout for confirming the settings, beside the read of what the store has of streams.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout for confirming the settings, beside the read of what the store has of streams. A slow store
+/// replies within it, and the lookup has some time left.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Other vms, which may have forwarded parts of streams.
 pub(crate) trait StreamPeers {
