--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -104,7 +104,7 @@
     }
 }
 
-/// What a request is to those who read the log after an incident. Lines of different importance have
+/// How much a request matters to readers of the log after a failure. Lines of different importance have
 /// limits of their own, so that they do not hide each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Importance {
